--- /dev/null
+++ b/cmd/samphireflowd/main.go
@@ -0,0 +1,4 @@
+// Command samphireflowd is the daemon of samphireflow.
+package main
+
+func main() {}
