Add the tree of settings: schema, inheritance, compare-and-set edits

Cause: every later part reads resolved settings and edits branches. Change: internal/tree, pure; an edit is taken whole or refused with all faults.

--- /dev/null
+++ b/internal/tree/edit.go
@@ -0,0 +1,212 @@
+package tree
+
+import (
+	"sort"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// Apply makes the tree that an edit leads to, at the given new version.
+//
+// It returns conflicts when a branch has moved on since the edit's base version, and faults when the edited
+// tree would break the schema or leave a dangling reference. An edit is taken whole or not at all: with any
+// conflict or fault the returned tree is nil.
+func (t *Tree) Apply(edit *apiv1.EditRequest, version uint64) (*Tree, []*apiv1.BranchConflict, []*apiv1.Fault) {
+	if len(edit.Branches) == 0 {
+		return nil, nil, []*apiv1.Fault{{Path: "/", Message: "the edit changes no branch"}}
+	}
+	paths, faults := parsePaths(edit.Branches)
+	if len(faults) > 0 {
+		return nil, nil, faults
+	}
+	if conflicts := t.conflicts(edit.Branches, paths); len(conflicts) > 0 {
+		return nil, conflicts, nil
+	}
+	next := t.clone()
+	for i, branchEdit := range edit.Branches {
+		faults = append(faults, next.applyBranch(paths[i], branchEdit, edit, version)...)
+	}
+	faults = append(faults, next.referenceFaults()...)
+	if len(faults) > 0 {
+		return nil, nil, faults
+	}
+	return next, nil, nil
+}
+
+func parsePaths(edits []*apiv1.BranchEdit) ([]Path, []*apiv1.Fault) {
+	paths := make([]Path, len(edits))
+	seen := make(map[Path]bool, len(edits))
+	var faults []*apiv1.Fault
+	for i, edit := range edits {
+		path, err := ParsePath(edit.Path)
+		if err != nil {
+			faults = append(faults, &apiv1.Fault{Path: edit.Path, Message: err.Error()})
+			continue
+		}
+		if seen[path] {
+			faults = append(faults, &apiv1.Fault{Path: edit.Path, Message: "the edit names this branch twice"})
+		}
+		seen[path] = true
+		paths[i] = path
+	}
+	return paths, faults
+}
+
+func (t *Tree) conflicts(edits []*apiv1.BranchEdit, paths []Path) []*apiv1.BranchConflict {
+	var conflicts []*apiv1.BranchConflict
+	for i, edit := range edits {
+		branch := t.branches[paths[i]]
+		if branch == nil {
+			branch = &Branch{Path: paths[i]}
+		}
+		if branch.Version == edit.BaseVersion {
+			continue
+		}
+		conflicts = append(conflicts, &apiv1.BranchConflict{
+			Path:           edit.Path,
+			BaseVersion:    edit.BaseVersion,
+			CurrentVersion: branch.Version,
+			WonByEdit:      branch.EditID,
+			WonByOperator:  branch.Operator,
+			Current:        branch.Settings(),
+		})
+	}
+	return conflicts
+}
+
+func (t *Tree) applyBranch(path Path, branchEdit *apiv1.BranchEdit, edit *apiv1.EditRequest, version uint64) []*apiv1.Fault {
+	if branchEdit.Remove {
+		return t.removeBranch(path)
+	}
+	branch := t.branches[path]
+	if branch == nil {
+		branch = &Branch{Path: path}
+	}
+	branch = branch.clone()
+	branch.Version = version
+	branch.EditID = edit.EditId
+	branch.Operator = edit.Operator
+	var faults []*apiv1.Fault
+	for _, change := range branchEdit.Changes {
+		if fault := branch.applyChange(change, edit, version); fault != nil {
+			faults = append(faults, fault)
+		}
+	}
+	t.branches[path] = branch
+	return faults
+}
+
+func (b *Branch) applyChange(change *apiv1.Change, edit *apiv1.EditRequest, version uint64) *apiv1.Fault {
+	fault := func(message string) *apiv1.Fault {
+		return &apiv1.Fault{Path: b.Path.String(), Key: change.Key, Message: message}
+	}
+	spec, ok := specByKey[change.Key]
+	if !ok {
+		return fault("unknown key")
+	}
+	if change.Unset {
+		delete(b.values, change.Key)
+		return nil
+	}
+	if !spec.allowedAt(b.Path.Level) {
+		return fault("the key may not be set on this branch")
+	}
+	text, err := spec.Canonical(change.Value)
+	if err != nil {
+		return fault(err.Error())
+	}
+	b.values[change.Key] = value{text, version, edit.EditId, edit.Operator}
+	return nil
+}
+
+func (t *Tree) removeBranch(path Path) []*apiv1.Fault {
+	if path.Level == LevelGlobal {
+		return []*apiv1.Fault{{Path: "/", Message: "the global branch cannot be removed"}}
+	}
+	if t.branches[path] == nil {
+		return []*apiv1.Fault{{Path: path.String(), Message: "there is no such branch"}}
+	}
+	for other := range t.branches {
+		if other == path || other.beneath(path) {
+			delete(t.branches, other)
+		}
+	}
+	return nil
+}
+
+// beneath reports whether p is defined under ancestor.
+func (p Path) beneath(ancestor Path) bool {
+	for {
+		parent, ok := p.parent()
+		if !ok {
+			return false
+		}
+		if parent == ancestor {
+			return true
+		}
+		p = parent
+	}
+}
+
+// referenceFaults checks what spans branches: parents exist, references point at services and resources that
+// exist, routes are complete and do not match the same calls.
+func (t *Tree) referenceFaults() []*apiv1.Fault {
+	var faults []*apiv1.Fault
+	routes := map[string]string{}
+	for _, branch := range t.Branches() {
+		faults = append(faults, t.branchReferenceFaults(branch)...)
+		if branch.Path.Level == LevelRoute {
+			faults = append(faults, routeFaults(branch, routes)...)
+		}
+	}
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+func (t *Tree) branchReferenceFaults(branch *Branch) []*apiv1.Fault {
+	var faults []*apiv1.Fault
+	path := branch.Path.String()
+	if parent, ok := branch.Path.parent(); ok && t.branches[parent] == nil {
+		faults = append(faults, &apiv1.Fault{Path: path, Message: "there is no branch " + parent.String()})
+	}
+	for _, setting := range branch.Settings() {
+		if target, ok := referenceTarget(specByKey[setting.Key], setting.Value); ok && t.branches[target] == nil {
+			faults = append(faults, &apiv1.Fault{Path: path, Key: setting.Key, Message: "refers to " + target.String() + ", which does not exist"})
+		}
+	}
+	if branch.Path.Level == LevelService {
+		if fallback, _ := branch.Get(KeyFallback); fallback == branch.Path.Service && fallback != "" {
+			faults = append(faults, &apiv1.Fault{Path: path, Key: KeyFallback, Message: "refers to the service itself"})
+		}
+	}
+	return faults
+}
+
+func referenceTarget(spec *Spec, name string) (Path, bool) {
+	switch spec.Kind {
+	case KindServiceRef:
+		return Path{Level: LevelService, Service: name}, true
+	case KindResourceRef:
+		return Path{Level: LevelResource, Resource: name}, true
+	}
+	return Path{}, false
+}
+
+func routeFaults(branch *Branch, seen map[string]string) []*apiv1.Fault {
+	var faults []*apiv1.Fault
+	path := branch.Path.String()
+	method, hasMethod := branch.Get(KeyRouteMethod)
+	pattern, hasPath := branch.Get(KeyRoutePath)
+	if !hasMethod {
+		faults = append(faults, &apiv1.Fault{Path: path, Key: KeyRouteMethod, Message: "a route must set it"})
+	}
+	if !hasPath || pattern[0] != '/' {
+		faults = append(faults, &apiv1.Fault{Path: path, Key: KeyRoutePath, Message: "a route must set it, starting with /"})
+	}
+	match := method + " " + pattern
+	if other, ok := seen[match]; ok && hasMethod && hasPath {
+		faults = append(faults, &apiv1.Fault{Path: path, Key: KeyRoutePath, Message: "matches the same calls as " + other})
+	}
+	seen[match] = path
+	return faults
+}
--- /dev/null
+++ b/internal/tree/resolve.go
@@ -0,0 +1,88 @@
+package tree
+
+import (
+	"strconv"
+	"time"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// Resolved is the value of one setting at a path with its source.
+type Resolved struct {
+	Key   string
+	Value string
+	// Branch that set the value; empty for the built-in default.
+	Branch   string
+	EditID   string
+	Operator string
+	Version  uint64
+}
+
+// Resolve returns the value of a key that holds at a path: the most specific branch that sets it wins.
+// It reports false for a key that no branch sets and that has no default.
+func (t *Tree) Resolve(path Path, key string) (Resolved, bool) {
+	lineage := path.Lineage()
+	for i := len(lineage) - 1; i >= 0; i-- {
+		branch := t.branches[lineage[i]]
+		if branch == nil {
+			continue
+		}
+		if v, ok := branch.values[key]; ok {
+			return Resolved{key, v.text, branch.Path.String(), v.editID, v.operator, v.version}, true
+		}
+	}
+	spec, ok := specByKey[key]
+	if !ok || spec.Default == "" {
+		return Resolved{}, false
+	}
+	return Resolved{Key: key, Value: spec.Default}, true
+}
+
+// Explain resolves every setting that may hold at a path, in schema order.
+func (t *Tree) Explain(path Path) []Resolved {
+	var list []Resolved
+	for i := range specs {
+		if !specs[i].relevantAt(path) {
+			continue
+		}
+		if resolved, ok := t.Resolve(path, specs[i].Key); ok {
+			list = append(list, resolved)
+		}
+	}
+	return list
+}
+
+// relevantAt reports whether the key may be set on some branch of the path's lineage.
+func (s *Spec) relevantAt(path Path) bool {
+	for _, ancestor := range path.Lineage() {
+		if s.allowedAt(ancestor.Level) {
+			return true
+		}
+	}
+	return false
+}
+
+// Message returns the resolved setting in its API form.
+func (r Resolved) Message() *apiv1.Explanation {
+	return &apiv1.Explanation{Key: r.Key, Value: r.Value, Branch: r.Branch, EditId: r.EditID, Version: r.Version, Operator: r.Operator}
+}
+
+// Duration resolves a duration setting; zero when it is not set.
+func (t *Tree) Duration(path Path, key string) time.Duration {
+	resolved, _ := t.Resolve(path, key)
+	duration, _ := time.ParseDuration(resolved.Value)
+	return duration
+}
+
+// Float resolves a number setting; zero when it is not set.
+func (t *Tree) Float(path Path, key string) float64 {
+	resolved, _ := t.Resolve(path, key)
+	number, _ := strconv.ParseFloat(resolved.Value, 64)
+	return number
+}
+
+// Text resolves a text setting; empty when it is not set.
+func (t *Tree) Text(path Path, key string) string {
+	resolved, _ := t.Resolve(path, key)
+	return resolved.Value
+}
--- /dev/null
+++ b/internal/tree/schema.go
@@ -0,0 +1,211 @@
+package tree
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is the type of a setting's value.
+type Kind int
+
+// The kinds of value that a setting may have.
+const (
+	KindDuration Kind = iota
+	KindInt
+	KindFloat
+	KindBool
+	KindText
+	KindChoice
+	// KindServiceRef names a service that the tree must hold.
+	KindServiceRef
+	// KindResourceRef names a resource that the tree must hold.
+	KindResourceRef
+)
+
+// Spec is the schema of one setting.
+type Spec struct {
+	Key  string
+	Kind Kind
+	// Default holds where no branch sets the key; empty for settings that have none.
+	Default string
+	// Min and Max bound durations (in nanoseconds), integers and floats, both inclusive.
+	Min, Max float64
+	// Choices lists the values of a KindChoice setting.
+	Choices []string
+	// Levels lists where the key may be set; nil allows every level but LevelResource.
+	Levels []Level
+	// Help is one line for operators.
+	Help string
+}
+
+// Keys of the settings.
+const (
+	KeyCallTimeout       = "call.timeout"
+	KeyRetryLimit        = "retry.limit"
+	KeyRetryBudget       = "retry.budget"
+	KeySpillThreshold    = "balance.spill"
+	KeySlowStart         = "balance.slow-start"
+	KeyEjectErrorRate    = "eject.error-rate"
+	KeyEjectMaxShare     = "eject.max-share"
+	KeyEjectTime         = "eject.time"
+	KeyQueueLength       = "limit.queue"
+	KeyCallerShare       = "limit.caller-share"
+	KeyClaimRetention    = "claim.retention"
+	KeyDrainTimeout      = "drain.timeout"
+	KeyRateLimit         = "limit.rate"
+	KeyFallback          = "service.fallback"
+	KeyServiceVersion    = "service.version"
+	KeyRouteMethod       = "route.method"
+	KeyRoutePath         = "route.path"
+	KeyRouteIdempotent   = "route.idempotent"
+	KeyMoveFirstShare    = "move.first-share"
+	KeyMoveErrorMargin   = "move.error-margin"
+	KeyMoveLatencyRatio  = "move.latency-ratio"
+	KeyMoveWatch         = "move.watch"
+	KeyMoveThinEvidence  = "move.thin-evidence"
+	KeyResourceCallsRate = "resource.calls-per-second"
+	KeyResourceBurst     = "resource.burst"
+	KeyNote              = "note"
+)
+
+// Choices of KeyMoveThinEvidence.
+const (
+	ThinEvidenceAdvance  = "advance"
+	ThinEvidenceTakeBack = "take-back"
+)
+
+const (
+	serviceOnly = LevelService
+	routeOnly   = LevelRoute
+)
+
+var specs = []Spec{
+	{Key: KeyCallTimeout, Kind: KindDuration, Default: "2s", Min: float64(time.Millisecond), Max: float64(time.Minute), Help: "longest time for a call, queueing and retries included"},
+	{Key: KeyRetryLimit, Kind: KindInt, Default: "2", Min: 0, Max: 5, Help: "retries of one call at most"},
+	{Key: KeyRetryBudget, Kind: KindFloat, Default: "0.1", Min: 0, Max: 1, Help: "retries as a share of calls"},
+	{Key: KeySpillThreshold, Kind: KindFloat, Default: "0.8", Min: 0, Max: 1, Help: "utilisation of the own failure domain at which calls go to others"},
+	{Key: KeySlowStart, Kind: KindDuration, Default: "10s", Min: 0, Max: float64(10 * time.Minute), Help: "time over which a started backend server gets its full share"},
+	{Key: KeyEjectErrorRate, Kind: KindFloat, Default: "0.5", Min: 0, Max: 1, Help: "error rate at which a backend server is ejected"},
+	{Key: KeyEjectMaxShare, Kind: KindFloat, Default: "0.5", Min: 0, Max: 1, Help: "share of a service's backend servers that may be ejected"},
+	{Key: KeyEjectTime, Kind: KindDuration, Default: "10s", Min: float64(time.Second), Max: float64(time.Hour), Help: "time for which a backend server is ejected first"},
+	{Key: KeyQueueLength, Kind: KindInt, Default: "64", Min: 0, Max: 10000, Help: "calls that may wait at a node for one service"},
+	{Key: KeyCallerShare, Kind: KindFloat, Default: "0.5", Min: 0.01, Max: 1, Help: "share of a node's queue that one caller may hold"},
+	{Key: KeyClaimRetention, Kind: KindDuration, Default: "10m", Min: float64(10 * time.Second), Max: float64(24 * time.Hour), Help: "time for which a resend of a finished request gets the first answer"},
+	{Key: KeyDrainTimeout, Kind: KindDuration, Default: "30s", Min: float64(time.Second), Max: float64(time.Hour), Help: "time that a leaving backend server has to end its calls"},
+	{Key: KeyRateLimit, Kind: KindResourceRef, Help: "resource that bounds the rate of calls"},
+	{Key: KeyFallback, Kind: KindServiceRef, Levels: []Level{LevelService, LevelServiceSite}, Help: "service that takes the calls when this one has no backend server"},
+	{Key: KeyServiceVersion, Kind: KindText, Levels: []Level{serviceOnly}, Help: "first backend server version of the service; later ones come by moves"},
+	{Key: KeyRouteMethod, Kind: KindChoice, Choices: []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}, Levels: []Level{routeOnly}, Help: "HTTP method of the route"},
+	{Key: KeyRoutePath, Kind: KindText, Levels: []Level{routeOnly}, Help: "path of the route; a trailing /* matches the rest"},
+	{Key: KeyRouteIdempotent, Kind: KindBool, Default: "false", Levels: []Level{routeOnly}, Help: "whether a call may run more than once"},
+	{Key: KeyMoveFirstShare, Kind: KindFloat, Default: "0.05", Min: 0.001, Max: 0.25, Help: "share of calls at the first stage of a move"},
+	{Key: KeyMoveErrorMargin, Kind: KindFloat, Default: "0.02", Min: 0.001, Max: 1, Help: "rise of the error rate at which a new version is bad"},
+	{Key: KeyMoveLatencyRatio, Kind: KindFloat, Default: "2", Min: 1.1, Max: 100, Help: "ratio of call durations, new to old, at which a new version is bad"},
+	{Key: KeyMoveWatch, Kind: KindDuration, Default: "5m", Min: float64(time.Second), Max: float64(24 * time.Hour), Help: "time for which a whole move is still judged"},
+	{Key: KeyMoveThinEvidence, Kind: KindChoice, Default: ThinEvidenceTakeBack, Choices: []string{ThinEvidenceAdvance, ThinEvidenceTakeBack}, Help: "what happens at the deadline of a move with too little evidence"},
+	{Key: KeyResourceCallsRate, Kind: KindFloat, Min: 0.1, Max: 1e6, Levels: []Level{LevelResource}, Help: "calls a second that a node may send"},
+	{Key: KeyResourceBurst, Kind: KindInt, Default: "10", Min: 1, Max: 1e6, Levels: []Level{LevelResource}, Help: "calls that may come at once"},
+	{Key: KeyNote, Kind: KindText, Levels: []Level{LevelGlobal, LevelSite, LevelService, LevelServiceSite, LevelRoute, LevelRouteSite, LevelResource}, Help: "free text for operators"},
+}
+
+var specByKey = indexSpecs(specs)
+
+func indexSpecs(list []Spec) map[string]*Spec {
+	index := make(map[string]*Spec, len(list))
+	for i := range list {
+		index[list[i].Key] = &list[i]
+	}
+	return index
+}
+
+// Specs returns the schema of all settings in the order in which documents list them.
+func Specs() []Spec {
+	return append([]Spec(nil), specs...)
+}
+
+// SpecOf returns the schema of one key.
+func SpecOf(key string) (Spec, bool) {
+	spec, ok := specByKey[key]
+	if !ok {
+		return Spec{}, false
+	}
+	return *spec, true
+}
+
+// allowedAt reports whether the key may be set at a level.
+func (s *Spec) allowedAt(level Level) bool {
+	if s.Levels == nil {
+		return level != LevelResource
+	}
+	for _, allowed := range s.Levels {
+		if allowed == level {
+			return true
+		}
+	}
+	return false
+}
+
+const maxTextLength = 1024
+
+// Canonical checks a value and returns its canonical text form.
+func (s *Spec) Canonical(value string) (string, error) {
+	switch s.Kind {
+	case KindDuration:
+		duration, err := time.ParseDuration(value)
+		if err != nil {
+			return "", errors.Errorf("%q is not a duration such as 250ms", value)
+		}
+		return duration.String(), s.inRange(float64(duration), time.Duration(s.Min).String(), time.Duration(s.Max).String())
+	case KindInt:
+		number, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return "", errors.Errorf("%q is not an integer", value)
+		}
+		return strconv.FormatInt(number, 10), s.inNumberRange(float64(number))
+	case KindFloat:
+		number, err := strconv.ParseFloat(value, 64)
+		if err != nil || number != number {
+			return "", errors.Errorf("%q is not a number", value)
+		}
+		return strconv.FormatFloat(number, 'g', -1, 64), s.inNumberRange(number)
+	case KindBool:
+		flag, err := strconv.ParseBool(value)
+		if err != nil {
+			return "", errors.Errorf("%q is not true or false", value)
+		}
+		return strconv.FormatBool(flag), nil
+	case KindChoice:
+		return s.canonicalChoice(value)
+	case KindServiceRef, KindResourceRef:
+		if !validName(value) {
+			return "", errors.Errorf("%q is not a name", value)
+		}
+		return value, nil
+	}
+	if value == "" || len(value) > maxTextLength {
+		return "", errors.Errorf("text must have 1 to %d bytes", maxTextLength)
+	}
+	return value, nil
+}
+
+func (s *Spec) canonicalChoice(value string) (string, error) {
+	for _, choice := range s.Choices {
+		if value == choice {
+			return value, nil
+		}
+	}
+	return "", errors.Errorf("%q is not one of %v", value, s.Choices)
+}
+
+func (s *Spec) inNumberRange(number float64) error {
+	return s.inRange(number, strconv.FormatFloat(s.Min, 'g', -1, 64), strconv.FormatFloat(s.Max, 'g', -1, 64))
+}
+
+func (s *Spec) inRange(number float64, low, high string) error {
+	if number < s.Min || number > s.Max {
+		return errors.Errorf("out of range %s to %s", low, high)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tree/tree.go
@@ -0,0 +1,79 @@
+package tree
+
+import (
+	"sort"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// Tree is the whole set of branches at one version. It is immutable: an edit makes a new Tree that shares
+// the branches that did not change.
+type Tree struct {
+	branches map[Path]*Branch
+}
+
+// New returns a tree with an empty global branch.
+func New() *Tree {
+	global := &Branch{Path: Path{Level: LevelGlobal}}
+	return &Tree{branches: map[Path]*Branch{global.Path: global}}
+}
+
+// FromMessages rebuilds a tree from its API form, as found in a snapshot of the replicated state.
+func FromMessages(list []*apiv1.Branch) (*Tree, error) {
+	t := New()
+	for _, message := range list {
+		path, err := ParsePath(message.Path)
+		if err != nil {
+			return nil, err
+		}
+		branch := &Branch{Path: path, Version: message.Version, EditID: message.EditId, Operator: message.Operator, values: map[string]value{}}
+		for _, setting := range message.Settings {
+			branch.values[setting.Key] = value{setting.Value, setting.Version, setting.EditId, setting.Operator}
+		}
+		t.branches[path] = branch
+	}
+	return t, nil
+}
+
+// Branch returns the branch at a path, nil when there is none.
+func (t *Tree) Branch(path Path) *Branch {
+	return t.branches[path]
+}
+
+// Branches lists all branches sorted by path.
+func (t *Tree) Branches() []*Branch {
+	list := make([]*Branch, 0, len(t.branches))
+	for _, branch := range t.branches {
+		list = append(list, branch)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Path.String() < list[j].Path.String() })
+	return list
+}
+
+// Messages lists all branches in their API form, sorted by path.
+func (t *Tree) Messages() []*apiv1.Branch {
+	var list []*apiv1.Branch
+	for _, branch := range t.Branches() {
+		list = append(list, branch.Message())
+	}
+	return list
+}
+
+// AtLevel lists the branches of one level, sorted by path.
+func (t *Tree) AtLevel(level Level) []*Branch {
+	var list []*Branch
+	for _, branch := range t.Branches() {
+		if branch.Path.Level == level {
+			list = append(list, branch)
+		}
+	}
+	return list
+}
+
+func (t *Tree) clone() *Tree {
+	copied := &Tree{branches: make(map[Path]*Branch, len(t.branches))}
+	for path, branch := range t.branches {
+		copied.branches[path] = branch
+	}
+	return copied
+}
