Prove the agreement under reordered, dropped and repeated messages

Cause: the consensus step had no proof. A property test drives 1, 3 or 5 voters and 2 spares through faults and checks one leader per term, equal states at equal indexes, reads and, once the faults end, progress. Found: a group of two voters stood still for good when a leader had stored its own removal and then stopped leading (rapid): its log was the longer one, and it did not campaign because its newest membership no longer lists it. Change: a node campaigns until its removal is committed.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -5,7 +5,7 @@
 // campaign asks the voters whether an election could be won; only then the term is raised.
 func (n *Node) campaign() {
 	n.leader = ""
-	if !n.isVoter(n.cfg.ID) {
+	if !n.mayCampaign() {
 		n.role = Follower
 		return
 	}
@@ -18,6 +18,16 @@
 	n.requestVotes(apiv1.MessageKind_MESSAGE_KIND_PRE_VOTE, n.term+1)
 }
 
+// mayCampaign reports whether the node is a voter, or still one until its removal is committed: only a leader whose
+// log has the removal may be able to commit it (section 4.2.2 of the source).
+func (n *Node) mayCampaign() bool {
+	if n.isVoter(n.cfg.ID) {
+		return true
+	}
+	learner, known := memberKinds(n.log.membershipAt(n.log.committed))[n.cfg.ID]
+	return known && !learner
+}
+
 func (n *Node) startElection() {
 	n.role = Candidate
 	n.term++
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -11,6 +11,7 @@
 }
 
 // Compact records a snapshot of the state machine at the applied index and drops old entries.
+// It must not be called while a Ready is outstanding.
 func (n *Node) Compact(data []byte) Snapshot {
 	index := n.log.applied
 	term, ok := n.log.term(index)
