Add the stand-in backend server and the deployment tool, thin

Cause: the demo, the tests and the benchmarks need backend servers and a deployment that runs as separate processes. Change: internal/backendserver serves calls in slots with a short queue, sheds, drains, honours deadlines and cancellation, keeps its executions over a restart and takes faults while it runs. internal/deployment plans, starts, lists and ends the processes of two layouts and holds the steps of the demo. Ruled out: ports from the range of outgoing connections, since a process that starts again could find its port taken. Not run: up and demo, which need the daemon and the command-line tool.

--- /dev/null
+++ b/cmd/backendserver/main.go
@@ -0,0 +1,50 @@
+// Command backendserver is the stand-in backend server of the demo, the tests and the benchmarks.
+//
+// Exit codes: 0 after a graceful stop, 1 after a failure while running, 2 for bad settings, 70 after a crash that a
+// fault or a crashing request caused.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"samphireflow/internal/backendserver"
+)
+
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+func main() {
+	cfg, err := backendserver.ParseConfig(os.Args[1:], os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "backendserver:", err)
+		os.Exit(exitBadSettings)
+	}
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("instance", cfg.Instance).Str("role", "backend-server").Logger()
+	if err := run(cfg, log); err != nil {
+		log.Error().Err(err).Msg("backend server failed")
+		os.Exit(exitFailed)
+	}
+}
+
+func run(cfg backendserver.Config, log zerolog.Logger) error {
+	server, err := backendserver.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return server.Run(ctx)
+}
--- /dev/null
+++ b/internal/backendserver/announcer.go
@@ -0,0 +1,69 @@
+package backendserver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+const (
+	// heartbeatInterval is the time between two announcements.
+	heartbeatInterval = time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+)
+
+// announcer tells the node beside the backend server about it, at once when its state changes and as a heartbeat.
+type announcer struct {
+	client   apiv1.Membership
+	describe func() *apiv1.BackendServer
+	changed  chan struct{}
+	log      zerolog.Logger
+}
+
+func newAnnouncer(nodeControlAddr string, describe func() *apiv1.BackendServer, log zerolog.Logger) *announcer {
+	return &announcer{
+		client:   apiv1.NewMembershipProtobufClient("http://"+nodeControlAddr, &http.Client{Timeout: announceTimeout}),
+		describe: describe,
+		changed:  make(chan struct{}, 1),
+		log:      log,
+	}
+}
+
+// notify makes the next announcement come at once.
+func (a *announcer) notify() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run announces until the context ends.
+func (a *announcer) run(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		err := a.announce(ctx)
+		if err != nil && !failing && ctx.Err() == nil {
+			a.log.Warn().Err(err).Msg("the node does not take the announcement")
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *announcer) announce(ctx context.Context) error {
+	_, err := a.client.Announce(ctx, &apiv1.AnnounceRequest{Server: a.describe()})
+	return errors.Wrap(err, "announce")
+}
--- /dev/null
+++ b/internal/backendserver/journal.go
@@ -0,0 +1,109 @@
+package backendserver
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// journal records executions in memory and, if it has a file, there too. The file gets a line when an execution starts
+// and one when it ends, so that an execution which a crash cut off still counts.
+type journal struct {
+	mu         sync.Mutex
+	file       *os.File
+	executions []Execution
+}
+
+// openJournal reads the executions that the file holds; an empty name keeps them in memory only.
+func openJournal(name string) (*journal, error) {
+	if name == "" {
+		return &journal{}, nil
+	}
+	file, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the executions")
+	}
+	j := &journal{file: file}
+	return j, j.load()
+}
+
+// load reads the file line by line. A last line that a crash cut short is passed over.
+func (j *journal) load() error {
+	scanner := bufio.NewScanner(j.file)
+	for scanner.Scan() {
+		var execution Execution
+		if json.Unmarshal(scanner.Bytes(), &execution) == nil {
+			j.merge(execution)
+		}
+	}
+	return errors.Wrap(scanner.Err(), "read the executions")
+}
+
+func (j *journal) merge(execution Execution) {
+	if execution.ID < uint64(len(j.executions)) {
+		j.executions[execution.ID] = execution
+		return
+	}
+	execution.ID = uint64(len(j.executions))
+	j.executions = append(j.executions, execution)
+}
+
+// start records the start of a call and returns the ID of the execution.
+func (j *journal) start(call *call, version string, now time.Time) (uint64, error) {
+	execution := Execution{
+		Key:        call.key,
+		Path:       call.path,
+		Method:     call.method,
+		BodyDigest: call.bodyDigest(),
+		Started:    now,
+		Version:    version,
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	execution.ID = uint64(len(j.executions))
+	j.executions = append(j.executions, execution)
+	return execution.ID, j.write(execution)
+}
+
+// end records the end of an execution.
+func (j *journal) end(id uint64, result Result, now time.Time) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	execution := &j.executions[id]
+	execution.Ended = &now
+	execution.Result = result
+	return j.write(*execution)
+}
+
+func (j *journal) write(execution Execution) error {
+	if j.file == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewEncoder(j.file).Encode(execution), "write an execution")
+}
+
+// writeTo writes all executions as JSON lines.
+func (j *journal) writeTo(w io.Writer) error {
+	j.mu.Lock()
+	list := append([]Execution(nil), j.executions...)
+	j.mu.Unlock()
+	encoder := json.NewEncoder(w)
+	for _, execution := range list {
+		if err := encoder.Encode(execution); err != nil {
+			return errors.Wrap(err, "send the executions")
+		}
+	}
+	return nil
+}
+
+func (j *journal) close() error {
+	if j.file == nil {
+		return nil
+	}
+	return errors.Wrap(j.file.Close(), "close the executions")
+}
--- /dev/null
+++ b/internal/backendserver/serve_call.go
@@ -0,0 +1,178 @@
+package backendserver
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+)
+
+const (
+	// coldFactor is the factor on the work of a call at the start of a cold start; it falls to 1 by its end.
+	coldFactor = 5.0
+	// maxWorkFactor bounds the random factor on the mean work of a call.
+	maxWorkFactor = 10.0
+)
+
+// ReadAnswer is the answer to a call that only reads.
+type ReadAnswer struct {
+	Path     string `json:"path"`
+	Instance string `json:"instance"`
+	Version  string `json:"version"`
+}
+
+// WriteAnswer is the answer to a call that changes something. It echoes the request.
+type WriteAnswer struct {
+	Key string `json:"key"`
+	// BodyDigest is the SHA-256 of the request's body in hexadecimal.
+	BodyDigest string `json:"body_digest"`
+	Instance   string `json:"instance"`
+	Version    string `json:"version"`
+}
+
+// ErrorAnswer says why a call failed.
+type ErrorAnswer struct {
+	Error    string `json:"error"`
+	Instance string `json:"instance"`
+	Version  string `json:"version"`
+}
+
+// serveCall runs one call in a slot, or refuses it.
+func (s *Server) serveCall(c echo.Context) error {
+	s.setReportHeaders(c.Response().Header())
+	call, err := readCall(c.Request())
+	if err != nil {
+		return s.refuse(c, http.StatusBadRequest, err.Error())
+	}
+	if call.expired(time.Now()) {
+		return s.refuse(c, http.StatusGatewayTimeout, "the deadline has passed")
+	}
+	ctx := c.Request().Context()
+	if !call.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, call.deadline)
+		defer cancel()
+	}
+	err = s.slots.acquire(ctx)
+	if errors.Is(err, errShed) {
+		return s.refuse(c, http.StatusServiceUnavailable, err.Error())
+	}
+	if err != nil {
+		return s.refuse(c, http.StatusGatewayTimeout, "the deadline passed in the queue")
+	}
+	defer s.slots.release()
+	return s.execute(ctx, c, call)
+}
+
+func (s *Server) setReportHeaders(header http.Header) {
+	report := s.report()
+	header.Set(HeaderLoad, strconv.Itoa(report.InFlight)+"/"+strconv.Itoa(report.Slots))
+	header.Set(HeaderInstance, s.cfg.Instance)
+	header.Set(HeaderVersion, s.cfg.Version)
+}
+
+// refuse answers a call that has not run and will not.
+func (s *Server) refuse(c echo.Context, status int, reason string) error {
+	c.Response().Header().Set(HeaderShed, "1")
+	return s.fail(c, status, reason)
+}
+
+func (s *Server) fail(c echo.Context, status int, reason string) error {
+	return c.JSON(status, ErrorAnswer{Error: reason, Instance: s.cfg.Instance, Version: s.cfg.Version})
+}
+
+// execute runs a call that has a slot and records it.
+func (s *Server) execute(ctx context.Context, c echo.Context, call *call) error {
+	id, err := s.journal.start(call, s.cfg.Version, time.Now())
+	if err != nil {
+		return s.fail(c, http.StatusInternalServerError, err.Error())
+	}
+	effect := s.effectOn(call)
+	if effect.crash {
+		s.log.Error().Str("path", call.path).Str("key", call.key).Msg("a call crashes the backend server")
+		s.exit(ExitCrashed)
+	}
+	finished := work(ctx, s.workTime()+effect.delay)
+	result := resultOf(finished, effect)
+	if err := s.journal.end(id, result, time.Now()); err != nil {
+		return s.fail(c, http.StatusInternalServerError, err.Error())
+	}
+	switch result {
+	case ResultCancelled:
+		return s.fail(c, http.StatusGatewayTimeout, "the call was cancelled or its deadline passed while it ran")
+	case ResultError:
+		return s.fail(c, effect.status, "a fault is switched on")
+	}
+	return s.answer(c, call)
+}
+
+func resultOf(finished bool, effect effect) Result {
+	if !finished {
+		return ResultCancelled
+	}
+	if effect.status != 0 {
+		return ResultError
+	}
+	return ResultOK
+}
+
+func (s *Server) answer(c echo.Context, call *call) error {
+	if call.reads() {
+		return c.JSON(http.StatusOK, ReadAnswer{Path: call.path, Instance: s.cfg.Instance, Version: s.cfg.Version})
+	}
+	return c.JSON(http.StatusOK, WriteAnswer{
+		Key:        call.key,
+		BodyDigest: call.bodyDigest(),
+		Instance:   s.cfg.Instance,
+		Version:    s.cfg.Version,
+	})
+}
+
+// effectOn returns what faults and the crash marker do to a call.
+func (s *Server) effectOn(call *call) effect {
+	load := float64(s.slots.inFlight()) / float64(s.cfg.Slots)
+	sum := s.faults.Load().effectOn(call, time.Now(), load, s.draw)
+	if marker := s.cfg.CrashMarker; marker != "" {
+		sum.crash = sum.crash || strings.Contains(call.path, marker) || strings.Contains(string(call.body), marker)
+	}
+	return sum
+}
+
+func (s *Server) draw() float64 {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return s.rand.Float64()
+}
+
+// workTime draws the time of a call from an exponential distribution, longer during a cold start.
+func (s *Server) workTime() time.Duration {
+	s.randMu.Lock()
+	factor := min(s.rand.ExpFloat64(), maxWorkFactor)
+	s.randMu.Unlock()
+	return time.Duration(float64(s.cfg.Work) * factor * coldStartFactor(time.Since(s.started), s.cfg.ColdStart))
+}
+
+// coldStartFactor falls evenly from coldFactor at the start to 1 at the end of the cold start.
+func coldStartFactor(age, coldStart time.Duration) float64 {
+	if age >= coldStart {
+		return 1
+	}
+	left := float64(coldStart-age) / float64(coldStart)
+	return 1 + (coldFactor-1)*left
+}
+
+// work takes the time given. It returns false if the context ends first.
+func work(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/backendserver/server.go
@@ -0,0 +1,185 @@
+package backendserver
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// ExitCrashed is the exit code of a backend server that a fault or a crashing request has ended.
+const ExitCrashed = 70
+
+// Server is a running backend server.
+type Server struct {
+	cfg       Config
+	log       zerolog.Logger
+	slots     *slots
+	journal   *journal
+	announcer *announcer
+	started   time.Time
+	draining  atomic.Bool
+	gone      atomic.Bool
+	faults    atomic.Pointer[activeFaults]
+	exit      func(code int)
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+
+	samplesMu sync.Mutex
+	samples   []sample
+
+	calls *http.Server
+	admin *http.Server
+}
+
+// New prepares a backend server; Run starts it.
+func New(cfg Config, log zerolog.Logger) (*Server, error) {
+	journal, err := openJournal(cfg.Executions)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		cfg:     cfg,
+		log:     log,
+		slots:   newSlots(cfg.Slots, cfg.QueueLength),
+		journal: journal,
+		started: time.Now(),
+		exit:    os.Exit,
+	}
+	s.rand = newRand(cfg.Seed, s.started)
+	s.faults.Store(&activeFaults{since: s.started})
+	s.announcer = newAnnouncer(cfg.NodeControlAddr, s.describe, log)
+	s.calls = &http.Server{Handler: s.callRoutes()}
+	s.admin = &http.Server{Handler: s.adminRoutes()}
+	return s, nil
+}
+
+func newRand(seed uint64, now time.Time) *rand.Rand {
+	if seed == 0 {
+		seed = uint64(now.UnixNano())
+	}
+	return rand.New(rand.NewPCG(seed, seed))
+}
+
+func (s *Server) callRoutes() http.Handler {
+	router := echo.New()
+	router.Any("/*", s.serveCall)
+	return router
+}
+
+// Run serves until the context ends, then drains and returns once the calls in flight are finished.
+func (s *Server) Run(ctx context.Context) error {
+	callListener, err := net.Listen("tcp", s.cfg.Addr)
+	if err != nil {
+		return errors.Wrap(err, "listen for calls")
+	}
+	adminListener, err := net.Listen("tcp", s.cfg.AdminAddr)
+	if err != nil {
+		callListener.Close()
+		return errors.Wrap(err, "listen for admin")
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.sampleLoop(background) })
+	if s.cfg.NodeControlAddr != "" {
+		tasks.Go(func() { s.announcer.run(background) })
+	}
+	failed := make(chan error, 2)
+	go serve(s.calls, newLimitListener(callListener, s.cfg.Connections, s.cfg.ConnectionCost), failed)
+	go serve(s.admin, adminListener, failed)
+	s.log.Info().Str("addr", s.cfg.Addr).Str("version", s.cfg.Version).Msg("backend server started")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = s.shutDown()
+	}
+	stop()
+	tasks.Wait()
+	s.leave()
+	s.admin.Close()
+	if closeErr := s.journal.close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener, failed chan<- error) {
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		failed <- errors.Wrap(err, "serve")
+	}
+}
+
+// Drain announces that the backend server leaves. It still serves the calls that reach it.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.calls.SetKeepAlivesEnabled(false)
+	s.announcer.notify()
+}
+
+// shutDown drains, lingers for the nodes that have not heard of it yet, and finishes the calls in flight.
+func (s *Server) shutDown() error {
+	s.log.Info().Int("in_flight", s.slots.inFlight()).Msg("backend server drains")
+	s.Drain()
+	time.Sleep(s.cfg.DrainLinger)
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DrainTimeout)
+	defer cancel()
+	if err := s.calls.Shutdown(ctx); err != nil {
+		return errors.Wrapf(err, "%d calls in flight were cut off", s.slots.inFlight())
+	}
+	s.log.Info().Msg("backend server drained")
+	return nil
+}
+
+// leave tells the node that the backend server is gone.
+func (s *Server) leave() {
+	if s.cfg.NodeControlAddr == "" {
+		return
+	}
+	s.gone.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	if err := s.announcer.announce(ctx); err != nil {
+		s.log.Warn().Err(err).Msg("the node does not take the last announcement")
+	}
+}
+
+// describe returns the announcement of the backend server.
+func (s *Server) describe() *apiv1.BackendServer {
+	return &apiv1.BackendServer{
+		Instance:        s.cfg.Instance,
+		FailureDomain:   s.cfg.FailureDomain,
+		Service:         s.cfg.Service,
+		Version:         s.cfg.Version,
+		Addr:            s.cfg.Addr,
+		Slots:           uint32(s.cfg.Slots),
+		Connections:     uint32(s.cfg.Connections),
+		Incarnation:     uint64(s.started.UnixNano()),
+		State:           s.state(),
+		StartedUnixMs:   s.started.UnixMilli(),
+		NodeControlAddr: s.cfg.NodeControlAddr,
+		InFlight:        uint32(s.report().InFlight),
+	}
+}
+
+func (s *Server) state() apiv1.ServerState {
+	if s.gone.Load() {
+		return apiv1.ServerState_SERVER_STATE_GONE
+	}
+	if s.draining.Load() {
+		return apiv1.ServerState_SERVER_STATE_DRAINING
+	}
+	return apiv1.ServerState_SERVER_STATE_READY
+}
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,133 @@
+package deployment
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+
+	"samphireflow/internal/tree"
+)
+
+func TestLayoutsMatchTheSizesOfToday(t *testing.T) {
+	for name, want := range map[string]struct{ domains, slots, least, most int }{
+		"ploughline": {domains: 4, slots: 10, least: 4, most: 5},
+		"rota-cera":  {domains: 3, slots: 12, least: 3, most: 4},
+	} {
+		layout, err := LayoutByName(name)
+		require.NoError(t, err)
+		require.Len(t, layout.Domains, want.domains)
+		require.Len(t, layout.Services, 4)
+		require.Len(t, layout.ControlDomains, 3)
+		require.Equal(t, want.slots, layout.Slots)
+		for _, service := range layout.Services {
+			require.GreaterOrEqual(t, len(service.Servers), want.least)
+			require.LessOrEqual(t, len(service.Servers), want.most)
+		}
+	}
+	_, err := LayoutByName("elsewhere")
+	require.ErrorContains(t, err, "elsewhere")
+}
+
+func TestFirstConfigurationFitsTheSchema(t *testing.T) {
+	for _, layout := range []Layout{Ploughline(), RotaCera()} {
+		text, err := firstConfiguration(layout)
+		require.NoError(t, err)
+		var doc struct {
+			Branches map[string]map[string]string `yaml:"branches"`
+		}
+		require.NoError(t, yaml.Unmarshal(text, &doc))
+		require.Len(t, doc.Branches, 1+len(layout.Services)+len(layout.Routes()))
+		for path, settings := range doc.Branches {
+			_, err := tree.ParsePath(path)
+			require.NoError(t, err)
+			for key, value := range settings {
+				spec, ok := tree.SpecOf(key)
+				require.True(t, ok, key)
+				_, err := spec.Canonical(value)
+				require.NoError(t, err)
+			}
+		}
+	}
+}
+
+func TestPlanGivesEachAddressOnce(t *testing.T) {
+	p := &planner{layout: Ploughline(), binDir: "/bin", dir: t.TempDir(), ports: newPorts()}
+	processes, err := p.controls()
+	require.NoError(t, err)
+	for _, service := range p.layout.Services {
+		pairs, err := p.servers(service, service.Version, 1)
+		require.NoError(t, err)
+		processes = append(processes, pairs...)
+	}
+	require.Len(t, processes, 3+2*18)
+	seen := map[string]bool{}
+	for _, process := range processes {
+		require.False(t, seen[process.name()])
+		seen[process.name()] = true
+		for _, addr := range []string{process.CallerAddr, process.ControlAddr, process.AdminAddr} {
+			require.False(t, addr != "" && seen[addr])
+			seen[addr] = true
+		}
+	}
+}
+
+func TestDownLeavesAReusedPIDAlone(t *testing.T) {
+	cmd := exec.Command("sleep", "60")
+	require.NoError(t, cmd.Start())
+	process := Process{Role: RoleNode, PID: cmd.Process.Pid, Argv: []string{"samphireflowd", "--role", "node"}}
+	require.NoError(t, stopAll([]Process{process}))
+	process.Argv = cmd.Args
+	require.True(t, process.running())
+	dir := t.TempDir()
+	manifest := Manifest{Processes: []Process{process}}
+	require.NoError(t, manifest.write(dir))
+	require.ErrorContains(t, refuseIfUp(dir), "up already")
+	ended := make(chan error)
+	go func() { ended <- cmd.Wait() }()
+	require.NoError(t, Down(dir, &strings.Builder{}))
+	require.Error(t, <-ended)
+	_, err := os.Stat(filepath.Join(dir, ManifestName))
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
+
+func TestRunsAreComparedWithWhatCallersWereTold(t *testing.T) {
+	tests := []struct {
+		told outcome
+		runs int
+		ok   bool
+	}{
+		{outcomeDone, 1, true}, {outcomeDone, 0, false}, {outcomeDone, 2, false},
+		{outcomeNotRun, 0, true}, {outcomeNotRun, 1, false},
+		{outcomeUnknown, 0, true}, {outcomeUnknown, 1, true}, {outcomeUnknown, 2, false},
+	}
+	for _, test := range tests {
+		err := checkRuns(map[string]outcome{"k": test.told}, map[string]int{"k": test.runs})
+		require.Equal(t, test.ok, err == nil, "%s, %d runs", test.told, test.runs)
+	}
+}
+
+func TestAnswerOfAnotherRequestIsAFault(t *testing.T) {
+	route := Route{Method: http.MethodPost, Path: "/shifts", Service: "shift-desk"}
+	mine, other := newRequest(route, "hobart", 1), newRequest(route, "hobart", 2)
+	body := []byte(`{"key": "` + mine.key + `", "body_digest": "` + mine.bodyDigest() + `"}`)
+	recorder := httptest.NewRecorder()
+	recorder.Header().Set(headerOutcome, string(outcomeDone))
+	response := recorder.Result()
+	got := mine.judge(response, body)
+	require.Empty(t, got.fault)
+	require.True(t, got.good())
+	got = other.judge(response, body)
+	require.NotEmpty(t, got.fault)
+	got = mine.judge(response, body[:10])
+	require.NotEmpty(t, got.fault)
+	response.Header.Del(headerOutcome)
+	got = mine.judge(response, body)
+	require.NotEmpty(t, got.fault)
+}
--- /dev/null
+++ b/internal/deployment/up.go
@@ -0,0 +1,78 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Up starts a deployment that outlives this process, and writes its manifest into dir.
+func Up(ctx context.Context, layout Layout, binDir, dir string, out io.Writer) error {
+	if err := refuseIfUp(dir); err != nil {
+		return err
+	}
+	for _, name := range []string{"data", "logs", "executions"} {
+		if err := os.RemoveAll(filepath.Join(dir, name)); err != nil {
+			return errors.Wrap(err, "remove an earlier deployment's files")
+		}
+	}
+	deployment, err := New(layout, binDir, dir)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := deployment.Start(ctx); err != nil {
+		return joinStop(err, deployment.Stop())
+	}
+	if err := deployment.WriteManifest(); err != nil {
+		return joinStop(err, deployment.Stop())
+	}
+	fmt.Fprintf(out, "%s is up: %d processes, listed in %s\n", layout.Name, len(deployment.Processes()), filepath.Join(dir, ManifestName))
+	fmt.Fprintf(out, "control addresses: %s\n", deployment.cli.control)
+	return nil
+}
+
+func joinStop(err, stopErr error) error {
+	if stopErr != nil {
+		return errors.WithMessage(err, stopErr.Error())
+	}
+	return err
+}
+
+func refuseIfUp(dir string) error {
+	manifest, err := ReadManifest(dir)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, process := range manifest.Processes {
+		if process.running() {
+			return errors.Errorf("a deployment is up already (%s runs with PID %d); end it with down first", process.name(), process.PID)
+		}
+	}
+	return nil
+}
+
+// Down ends the processes that the manifest in dir lists and removes the manifest.
+func Down(dir string, out io.Writer) error {
+	manifest, err := ReadManifest(dir)
+	if errors.Is(err, os.ErrNotExist) {
+		fmt.Fprintln(out, "no deployment is up")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := stopAll(manifest.Processes); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "ended the deployment of %d processes\n", len(manifest.Processes))
+	return errors.Wrap(os.Remove(filepath.Join(dir, ManifestName)), "remove the manifest")
+}
