--- /dev/null
+++ b/internal/member/directory.go
@@ -0,0 +1,46 @@
+package member
+
+import (
+	apiv1 "samphireflow/api/v1"
+)
+
+// Directory is a reader's copy of a Table, kept current by updates. It is owned by one goroutine.
+type Directory struct {
+	source  string
+	seq     uint64
+	servers map[string]*apiv1.BackendServer
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{servers: map[string]*apiv1.BackendServer{}}
+}
+
+// Position returns the source and the sequence number that the directory has reached.
+func (d *Directory) Position() (string, uint64) {
+	return d.source, d.seq
+}
+
+// Apply takes an update in.
+func (d *Directory) Apply(update *apiv1.MembersUpdate) {
+	if update.Full {
+		d.servers = map[string]*apiv1.BackendServer{}
+	}
+	for _, server := range update.Servers {
+		d.servers[server.Instance] = server
+	}
+	for _, instance := range update.Removed {
+		delete(d.servers, instance)
+	}
+	d.source = update.Source
+	d.seq = update.Seq
+}
+
+// Servers lists the backend servers by instance name.
+func (d *Directory) Servers() []*apiv1.BackendServer {
+	list := make([]*apiv1.BackendServer, 0, len(d.servers))
+	for _, instance := range sortedKeys(d.servers) {
+		list = append(list, d.servers[instance])
+	}
+	return list
+}
--- /dev/null
+++ b/internal/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy carries the calls of callers to backend servers.
+package proxy
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	apiv1 "samphireflow/api/v1"
+)
+
+// Service is a service with the backend servers that may take its calls.
+type Service struct {
+	Config   *apiv1.ServiceConfig
+	Settings ServiceSettings
+	// Versions holds the ready backend servers of each version that has a share.
+	Versions []Version
+}
+
+// Version is one backend server version of a service.
+type Version struct {
+	Name string
+	// ShareBp is the share of calls in basis points.
+	ShareBp uint32
+	// Local and Remote are the ready backend servers of the node's own failure domain and of the others.
+	Local  []*Server
+	Remote []*Server
+}
+
+// Table is what a node routes by. It is immutable.
+type Table struct {
+	Snapshot *apiv1.Snapshot
+	matcher  *matcher
+	services map[string]*Service
+}
+
+// Build makes the table of a checked snapshot and the announced backend servers. The registry keeps the state of
+// backend servers over rebuilds.
+func Build(snap *apiv1.Snapshot, servers []*apiv1.BackendServer, registry *Registry) *Table {
+	t := &Table{Snapshot: snap, services: make(map[string]*Service, len(snap.Services))}
+	ready := groupReady(servers, registry)
+	for _, config := range snap.Services {
+		t.services[config.Name] = buildService(config, ready[config.Name], snap.FailureDomain)
+	}
+	routes := make([]*Route, 0, len(snap.Routes))
+	for _, config := range snap.Routes {
+		routes = append(routes, &Route{Config: config, Settings: parseRouteSettings(config.Settings)})
+	}
+	t.matcher = newMatcher(routes)
+	return t
+}
+
+func groupReady(servers []*apiv1.BackendServer, registry *Registry) map[string][]*Server {
+	ready := map[string][]*Server{}
+	for _, server := range registry.Update(servers) {
+		if server.Info.State == apiv1.ServerState_SERVER_STATE_READY {
+			ready[server.Info.Service] = append(ready[server.Info.Service], server)
+		}
+	}
+	return ready
+}
+
+func buildService(config *apiv1.ServiceConfig, servers []*Server, failureDomain string) *Service {
+	service := &Service{Config: config, Settings: parseServiceSettings(config.Settings)}
+	for _, share := range config.Shares {
+		version := Version{Name: share.Version, ShareBp: share.ShareBp}
+		for _, server := range servers {
+			switch {
+			case server.Info.Version != share.Version:
+			case server.Info.FailureDomain == failureDomain:
+				version.Local = append(version.Local, server)
+			default:
+				version.Remote = append(version.Remote, server)
+			}
+		}
+		service.Versions = append(service.Versions, version)
+	}
+	return service
+}
+
+// Match finds the route of a call, nil when there is none.
+func (t *Table) Match(method, path string) *Route {
+	return t.matcher.match(method, path)
+}
+
+// Service returns a service by name, nil when there is none.
+func (t *Table) Service(name string) *Service {
+	return t.services[name]
+}
--- /dev/null
+++ b/internal/snapshot/build.go
@@ -0,0 +1,89 @@
+package snapshot
+
+import (
+	"strconv"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/state"
+	"samphireflow/internal/tree"
+)
+
+// Build resolves a view for one failure domain. The caller must not change the result.
+func Build(view *state.View, failureDomain string) *apiv1.Snapshot {
+	snap := &apiv1.Snapshot{Version: view.Version, Term: view.Term, FailureDomain: failureDomain}
+	for _, branch := range view.Tree.AtLevel(tree.LevelService) {
+		snap.Services = append(snap.Services, buildService(view, branch.Path.At(failureDomain)))
+	}
+	for _, branch := range view.Tree.AtLevel(tree.LevelRoute) {
+		snap.Routes = append(snap.Routes, buildRoute(view.Tree, branch, failureDomain))
+	}
+	for _, branch := range view.Tree.AtLevel(tree.LevelResource) {
+		snap.Resources = append(snap.Resources, buildResource(view.Tree, branch.Path))
+	}
+	sortEntities(snap.Services)
+	sortEntities(snap.Routes)
+	sortEntities(snap.Resources)
+	snap.Digest = Digest(snap)
+	return snap
+}
+
+func buildService(view *state.View, path tree.Path) *apiv1.ServiceConfig {
+	service := &apiv1.ServiceConfig{
+		Name:     path.Service,
+		Fallback: view.Tree.Text(path, tree.KeyFallback),
+		Settings: resolved(view.Tree, path, serviceKeys),
+	}
+	move := view.ActiveMove(path.Service)
+	if move == nil {
+		if version := view.ServiceVersion(path.Service); version != "" {
+			service.Shares = []*apiv1.VersionShare{{Version: version, ShareBp: state.FullShare}}
+		}
+		return service
+	}
+	service.MoveId = move.Id
+	service.Shares = []*apiv1.VersionShare{
+		{Version: move.ToVersion, ShareBp: move.ShareBp},
+		{Version: move.FromVersion, ShareBp: state.FullShare - move.ShareBp},
+	}
+	return service
+}
+
+func buildRoute(settings *tree.Tree, branch *tree.Branch, failureDomain string) *apiv1.RouteConfig {
+	method, _ := branch.Get(tree.KeyRouteMethod)
+	pattern, _ := branch.Get(tree.KeyRoutePath)
+	at := branch.Path.At(failureDomain)
+	idempotent, _ := strconv.ParseBool(settings.Text(at, tree.KeyRouteIdempotent))
+	return &apiv1.RouteConfig{
+		Name:       branch.Path.Service + "/" + branch.Path.Route,
+		Service:    branch.Path.Service,
+		Method:     method,
+		Path:       pattern,
+		Idempotent: idempotent,
+		RateLimit:  settings.Text(at, tree.KeyRateLimit),
+		Settings:   resolved(settings, at, routeKeys),
+	}
+}
+
+func buildResource(settings *tree.Tree, path tree.Path) *apiv1.ResourceConfig {
+	return &apiv1.ResourceConfig{Name: path.Resource, Settings: resolved(settings, path, resourceKeys)}
+}
+
+// Keys that nodes act on, by the entity that carries them.
+var (
+	serviceKeys = []string{
+		tree.KeySpillThreshold, tree.KeySlowStart, tree.KeyEjectErrorRate, tree.KeyEjectMaxShare, tree.KeyEjectTime,
+		tree.KeyQueueLength, tree.KeyCallerShare, tree.KeyDrainTimeout, tree.KeyMoveErrorMargin, tree.KeyMoveLatencyRatio,
+	}
+	routeKeys    = []string{tree.KeyCallTimeout, tree.KeyRetryLimit, tree.KeyRetryBudget, tree.KeyClaimRetention}
+	resourceKeys = []string{tree.KeyResourceCallsRate, tree.KeyResourceBurst}
+)
+
+func resolved(settings *tree.Tree, path tree.Path, keys []string) []*apiv1.Setting {
+	list := make([]*apiv1.Setting, 0, len(keys))
+	for _, key := range keys {
+		if value, ok := settings.Resolve(path, key); ok {
+			list = append(list, &apiv1.Setting{Key: key, Value: value.Value})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/state/edits.go
@@ -0,0 +1,128 @@
+package state
+
+import (
+	"fmt"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tree"
+)
+
+// historyLimit is the number of versions that history, diff and revert reach back.
+const historyLimit = 5000
+
+func (m *Machine) edit(request *apiv1.EditRequest, now int64, term uint64) *apiv1.EditResponse {
+	view := m.View()
+	next, response := Check(view, request)
+	if response != nil {
+		return response
+	}
+	entry := &apiv1.HistoryEntry{
+		EditId:   request.EditId,
+		Operator: request.Operator,
+		Comment:  request.Comment,
+		Branches: request.Branches,
+	}
+	return m.accept(view, next, entry, view.Tree.Before(request), now, term)
+}
+
+// Check validates an edit against a view. It returns the edited tree, or the answer that refuses the edit.
+func Check(view *View, request *apiv1.EditRequest) (*tree.Tree, *apiv1.EditResponse) {
+	if request.EditId == "" {
+		return nil, &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Version: view.Version, Detail: "the edit has no ID"}
+	}
+	next, conflicts, faults := view.Tree.Apply(request, view.Version+1)
+	if len(conflicts) > 0 {
+		return nil, &apiv1.EditResponse{
+			Outcome:   apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT,
+			Version:   view.Version,
+			Conflicts: conflicts,
+			Detail:    "a branch has changed since the base version",
+		}
+	}
+	if len(faults) == 0 {
+		faults = versionFaults(view, next)
+	}
+	if len(faults) > 0 {
+		return nil, &apiv1.EditResponse{
+			Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID,
+			Version: view.Version,
+			Faults:  faults,
+			Detail:  fmt.Sprintf("%d faults", len(faults)),
+		}
+	}
+	return next, nil
+}
+
+// versionFaults refuses edits that would move a service to another version without a move.
+func versionFaults(view *View, next *tree.Tree) []*apiv1.Fault {
+	var faults []*apiv1.Fault
+	for _, branch := range view.Tree.AtLevel(tree.LevelService) {
+		before, had := branch.Get(tree.KeyServiceVersion)
+		after := next.Branch(branch.Path)
+		if after == nil {
+			if view.ActiveMove(branch.Path.Service) != nil {
+				faults = append(faults, &apiv1.Fault{Path: branch.Path.String(), Message: "the service has a running move"})
+			}
+			continue
+		}
+		if now, _ := after.Get(tree.KeyServiceVersion); had && now != before {
+			faults = append(faults, &apiv1.Fault{
+				Path:    branch.Path.String(),
+				Key:     tree.KeyServiceVersion,
+				Message: "is set already; a move changes the version of a service",
+			})
+		}
+	}
+	return faults
+}
+
+func (m *Machine) accept(view *View, changed *tree.Tree, entry *apiv1.HistoryEntry, before []*apiv1.Branch, now int64, term uint64) *apiv1.EditResponse {
+	next := view.next(term)
+	next.Tree = changed
+	next.versions = keepVersions(view.versions, changed)
+	entry.Version = next.Version
+	entry.AcceptedUnixMs = now
+	entry.Before = before
+	next.history = appendHistory(view.history, entry)
+	m.publish(next)
+	return &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, Version: next.Version}
+}
+
+// keepVersions drops the versions of services that no longer exist.
+func keepVersions(versions map[string]string, changed *tree.Tree) map[string]string {
+	kept := make(map[string]string, len(versions))
+	for service, version := range versions {
+		if changed.Branch(tree.Path{Level: tree.LevelService, Service: service}) != nil {
+			kept[service] = version
+		}
+	}
+	return kept
+}
+
+func appendHistory(history []*apiv1.HistoryEntry, entry *apiv1.HistoryEntry) []*apiv1.HistoryEntry {
+	if len(history) >= historyLimit {
+		history = append([]*apiv1.HistoryEntry(nil), history[len(history)-historyLimit+1:]...)
+	}
+	return append(history, entry)
+}
+
+func (m *Machine) revert(request *apiv1.RevertRequest, now int64, term uint64) *apiv1.EditResponse {
+	view := m.View()
+	if request.BaseVersion != view.Version {
+		return &apiv1.EditResponse{
+			Outcome: apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT,
+			Version: view.Version,
+			Detail:  fmt.Sprintf("version %d is in force, the revert was based on %d", view.Version, request.BaseVersion),
+		}
+	}
+	target, ok := view.TreeAt(request.ToVersion)
+	if !ok {
+		return &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Version: view.Version, Detail: "the history does not hold this version"}
+	}
+	return m.edit(&apiv1.EditRequest{
+		EditId:   request.EditId,
+		Operator: request.Operator,
+		Comment:  fmt.Sprintf("revert to version %d", request.ToVersion),
+		Branches: view.Tree.RevertEdit(target),
+	}, now, term)
+}
--- /dev/null
+++ b/internal/state/moves.go
@@ -0,0 +1,196 @@
+package state
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tree"
+)
+
+const (
+	// FullShare is the whole of a service's calls, in basis points.
+	FullShare = 10000
+	// endedMoveLimit is the number of ended moves that are remembered.
+	endedMoveLimit = 1000
+	// defaultFirstShare is the first share of a move when nothing else is set, in basis points.
+	defaultFirstShare = 500
+)
+
+func (m *Machine) startMove(request *apiv1.StartMoveRequest, now int64, term uint64) *apiv1.MoveResponse {
+	view := m.View()
+	if fault := startFault(view, request, now); fault != "" {
+		return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Detail: fault}
+	}
+	if active := view.ActiveMove(request.Service); active != nil {
+		return &apiv1.MoveResponse{
+			Outcome: apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT,
+			Move:    active,
+			Detail:  fmt.Sprintf("move %s of %s to %s has not ended", active.Id, active.Service, active.ToVersion),
+		}
+	}
+	policy := resolvePolicy(view.Tree, request)
+	move := &apiv1.Move{
+		Id:             request.MoveId,
+		Service:        request.Service,
+		FromVersion:    view.ServiceVersion(request.Service),
+		ToVersion:      request.ToVersion,
+		StartedUnixMs:  now,
+		DeadlineUnixMs: request.DeadlineUnixMs,
+		Policy:         policy,
+		State:          apiv1.MoveState_MOVE_STATE_RUNNING,
+		ShareBp:        policy.FirstShareBp,
+		Reason:         "started",
+		Revision:       1,
+		StageUnixMs:    now,
+		Operator:       request.Operator,
+	}
+	return m.acceptMove(view, move, now, term)
+}
+
+func startFault(view *View, request *apiv1.StartMoveRequest, now int64) string {
+	service := tree.Path{Level: tree.LevelService, Service: request.Service}
+	switch {
+	case request.MoveId == "":
+		return "the move has no ID"
+	case view.Tree.Branch(service) == nil:
+		return fmt.Sprintf("there is no service %q", request.Service)
+	case view.ServiceVersion(request.Service) == "":
+		return fmt.Sprintf("service %q has no version yet; set %s", request.Service, tree.KeyServiceVersion)
+	case request.ToVersion == "" || request.ToVersion == view.ServiceVersion(request.Service):
+		return fmt.Sprintf("service %q is at version %q already", request.Service, request.ToVersion)
+	case request.DeadlineUnixMs <= now:
+		return "the deadline has passed"
+	}
+	return ""
+}
+
+// resolvePolicy fills what the request leaves open from the tree.
+func resolvePolicy(settings *tree.Tree, request *apiv1.StartMoveRequest) *apiv1.MovePolicy {
+	service := tree.Path{Level: tree.LevelService, Service: request.Service}
+	policy := &apiv1.MovePolicy{}
+	if request.Policy != nil {
+		policy = proto.Clone(request.Policy).(*apiv1.MovePolicy)
+	}
+	if policy.FirstShareBp == 0 || policy.FirstShareBp > FullShare {
+		policy.FirstShareBp = uint32(settings.Float(service, tree.KeyMoveFirstShare) * FullShare)
+	}
+	if policy.FirstShareBp == 0 {
+		policy.FirstShareBp = defaultFirstShare
+	}
+	if policy.ErrorMarginBp == 0 {
+		policy.ErrorMarginBp = uint32(settings.Float(service, tree.KeyMoveErrorMargin) * FullShare)
+	}
+	if policy.LatencyRatioPct == 0 {
+		policy.LatencyRatioPct = uint32(settings.Float(service, tree.KeyMoveLatencyRatio) * 100)
+	}
+	if policy.WatchMs == 0 {
+		policy.WatchMs = uint64(settings.Duration(service, tree.KeyMoveWatch).Milliseconds())
+	}
+	if policy.ThinEvidence == "" {
+		policy.ThinEvidence = settings.Text(service, tree.KeyMoveThinEvidence)
+	}
+	return policy
+}
+
+func (m *Machine) cancelMove(request *apiv1.CancelMoveRequest, now int64, term uint64) *apiv1.MoveResponse {
+	view := m.View()
+	move := view.Move(request.MoveId)
+	if move == nil {
+		return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Detail: "there is no such move"}
+	}
+	if !Active(move) {
+		return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT, Move: move, Detail: "the move has ended"}
+	}
+	return m.acceptMove(view, changeMove(move, now, func(changed *apiv1.Move) {
+		changed.State = apiv1.MoveState_MOVE_STATE_CANCELLED
+		changed.ShareBp = 0
+		changed.Reason = "cancelled by " + request.Operator
+	}), now, term)
+}
+
+func (m *Machine) stepMove(step *apiv1.StepMove, now int64, term uint64) *apiv1.MoveResponse {
+	view := m.View()
+	move := view.Move(step.MoveId)
+	if move == nil || !Active(move) || move.Revision != step.Revision {
+		return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT, Move: move, Detail: "the decision is stale"}
+	}
+	return m.acceptMove(view, changeMove(move, now, func(changed *apiv1.Move) {
+		changed.State = step.State
+		changed.Stage = step.Stage
+		changed.ShareBp = step.ShareBp
+		changed.Reason = step.Reason
+	}), now, term)
+}
+
+func changeMove(move *apiv1.Move, now int64, change func(*apiv1.Move)) *apiv1.Move {
+	changed := proto.Clone(move).(*apiv1.Move)
+	change(changed)
+	changed.Revision++
+	changed.StageUnixMs = now
+	if !Active(changed) {
+		changed.EndedUnixMs = now
+	}
+	return changed
+}
+
+func (m *Machine) acceptMove(view *View, move *apiv1.Move, now int64, term uint64) *apiv1.MoveResponse {
+	next := view.next(term)
+	move.ConfigVersion = next.Version
+	next.moves, next.order = withMove(view, move)
+	next.versions = withVersion(view.versions, move)
+	next.history = appendHistory(view.history, &apiv1.HistoryEntry{
+		Version:        next.Version,
+		MoveId:         move.Id,
+		Operator:       move.Operator,
+		AcceptedUnixMs: now,
+		Detail:         fmt.Sprintf("%s to %s: %s, share %d bp", move.Service, move.ToVersion, move.State, move.ShareBp),
+	})
+	m.publish(next)
+	return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, Move: move}
+}
+
+func withMove(view *View, move *apiv1.Move) (map[string]*apiv1.Move, []string) {
+	moves := make(map[string]*apiv1.Move, len(view.moves)+1)
+	for id, other := range view.moves {
+		moves[id] = other
+	}
+	order := view.order
+	if moves[move.Id] == nil {
+		order = append(append([]string(nil), view.order...), move.Id)
+	}
+	moves[move.Id] = move
+	return forgetMoves(moves, order)
+}
+
+// forgetMoves drops the oldest ended moves beyond the limit.
+func forgetMoves(moves map[string]*apiv1.Move, order []string) (map[string]*apiv1.Move, []string) {
+	excess := len(order) - endedMoveLimit
+	if excess <= 0 {
+		return moves, order
+	}
+	var kept []string
+	for _, id := range order {
+		if excess > 0 && !Active(moves[id]) {
+			delete(moves, id)
+			excess--
+			continue
+		}
+		kept = append(kept, id)
+	}
+	return moves, kept
+}
+
+// withVersion records the version that a finished move leaves in force.
+func withVersion(versions map[string]string, move *apiv1.Move) map[string]string {
+	if move.State != apiv1.MoveState_MOVE_STATE_DONE {
+		return versions
+	}
+	changed := make(map[string]string, len(versions)+1)
+	for service, version := range versions {
+		changed[service] = version
+	}
+	changed[move.Service] = move.ToVersion
+	return changed
+}
--- /dev/null
+++ b/internal/state/view.go
@@ -0,0 +1,102 @@
+package state
+
+import (
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tree"
+)
+
+// View is the state at one configuration version. It is immutable and shared by all readers.
+type View struct {
+	// Version is the configuration version; it grows by one with each accepted change.
+	Version uint64
+	// Term is the term of the log entry that made the version.
+	Term uint64
+	Tree *tree.Tree
+	// versions holds the backend server version that a move left in force, by service.
+	versions map[string]string
+	// moves holds every move that is remembered, by ID.
+	moves map[string]*apiv1.Move
+	// order lists move IDs from the oldest to the newest.
+	order   []string
+	history []*apiv1.HistoryEntry
+}
+
+func emptyView() *View {
+	return &View{Tree: tree.New(), versions: map[string]string{}, moves: map[string]*apiv1.Move{}}
+}
+
+// ServiceVersion returns the backend server version of a service outside of a move; empty when none is set.
+func (v *View) ServiceVersion(service string) string {
+	if version, ok := v.versions[service]; ok {
+		return version
+	}
+	return v.Tree.Text(tree.Path{Level: tree.LevelService, Service: service}, tree.KeyServiceVersion)
+}
+
+// Move returns a move by ID, nil when there is none. The message must not be changed.
+func (v *View) Move(id string) *apiv1.Move {
+	return v.moves[id]
+}
+
+// Moves lists the remembered moves from the oldest to the newest. The messages must not be changed.
+func (v *View) Moves() []*apiv1.Move {
+	list := make([]*apiv1.Move, 0, len(v.order))
+	for _, id := range v.order {
+		list = append(list, v.moves[id])
+	}
+	return list
+}
+
+// ActiveMove returns the move of a service that has not ended, nil when there is none.
+func (v *View) ActiveMove(service string) *apiv1.Move {
+	for _, id := range v.order {
+		if move := v.moves[id]; move.Service == service && Active(move) {
+			return move
+		}
+	}
+	return nil
+}
+
+// Active reports whether a move has not ended.
+func Active(move *apiv1.Move) bool {
+	return move.State == apiv1.MoveState_MOVE_STATE_RUNNING || move.State == apiv1.MoveState_MOVE_STATE_WATCHING
+}
+
+// History lists accepted versions below a bound (0 for no bound), newest first, at most limit entries.
+func (v *View) History(before uint64, limit int) []*apiv1.HistoryEntry {
+	var list []*apiv1.HistoryEntry
+	for i := len(v.history) - 1; i >= 0 && len(list) < limit; i-- {
+		if before == 0 || v.history[i].Version < before {
+			list = append(list, v.history[i])
+		}
+	}
+	return list
+}
+
+// TreeAt returns the tree as it was at an older version, false when the history does not reach back to it.
+func (v *View) TreeAt(version uint64) (*tree.Tree, bool) {
+	if version == 0 || version > v.Version {
+		return nil, false
+	}
+	older := v.Tree
+	for i := len(v.history) - 1; i >= 0; i-- {
+		entry := v.history[i]
+		if entry.Version <= version {
+			return older, true
+		}
+		undone, err := older.Undo(entry.Before)
+		if err != nil {
+			return nil, false
+		}
+		older = undone
+	}
+	return older, len(v.history) > 0 && v.history[0].Version == version+1
+}
+
+// next returns a copy to be changed into the view of the following version.
+func (v *View) next(term uint64) *View {
+	copied := *v
+	copied.Version = v.Version + 1
+	copied.Term = term
+	return &copied
+}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -26,15 +26,19 @@
 		if err != nil {
 			return nil, err
 		}
-		branch := &Branch{Path: path, Version: message.Version, EditID: message.EditId, Operator: message.Operator, values: map[string]value{}}
-		for _, setting := range message.Settings {
-			branch.values[setting.Key] = value{setting.Value, setting.Version, setting.EditId, setting.Operator}
-		}
-		t.branches[path] = branch
+		t.branches[path] = branchFromMessage(path, message)
 	}
 	return t, nil
 }
 
+func branchFromMessage(path Path, message *apiv1.Branch) *Branch {
+	branch := &Branch{Path: path, Version: message.Version, EditID: message.EditId, Operator: message.Operator, values: map[string]value{}}
+	for _, setting := range message.Settings {
+		branch.values[setting.Key] = value{setting.Value, setting.Version, setting.EditId, setting.Operator}
+	}
+	return branch
+}
+
 // Branch returns the branch at a path, nil when there is none.
 func (t *Tree) Branch(path Path) *Branch {
 	return t.branches[path]
