--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,65 @@
+// Package admin serves the admin address of a process: metrics, liveness, readiness, the applied version and the
+// log level.
+package admin
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+)
+
+// Version is the applied configuration version of a process.
+type Version struct {
+	Version uint64 `json:"version"`
+	Term    uint64 `json:"term"`
+	Digest  string `json:"digest"`
+}
+
+// Source tells the state of the process.
+type Source interface {
+	// Ready reports whether the process can serve.
+	Ready() bool
+	// Version returns the applied configuration version.
+	Version() Version
+}
+
+// Handler returns the handler of the admin address.
+func Handler(source Source, registry *prometheus.Registry) http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "alive\n") })
+	e.GET("/readyz", func(c echo.Context) error { return ready(c, source) })
+	e.GET("/version", func(c echo.Context) error { return c.JSON(http.StatusOK, source.Version()) })
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	e.GET("/loglevel", func(c echo.Context) error { return c.JSON(http.StatusOK, logLevel{zerolog.GlobalLevel().String()}) })
+	e.PUT("/loglevel", setLogLevel)
+	return e
+}
+
+func ready(c echo.Context, source Source) error {
+	if !source.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// logLevel is the body of the log level requests.
+type logLevel struct {
+	Level string `json:"level"`
+}
+
+func setLogLevel(c echo.Context) error {
+	var wanted logLevel
+	if err := c.Bind(&wanted); err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(wanted.Level)
+	if err != nil || wanted.Level == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "level must be debug, info, warn or error")
+	}
+	zerolog.SetGlobalLevel(level)
+	return c.JSON(http.StatusOK, wanted)
+}
--- /dev/null
+++ b/internal/control/config_service.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/replica"
+	"samphireflow/internal/state"
+	"samphireflow/internal/tree"
+)
+
+// Edit proposes an edit (twirp service Config).
+func (s *Server) Edit(ctx context.Context, request *apiv1.EditRequest) (*apiv1.EditResponse, error) {
+	if request.DryRun {
+		return dryRun(s.options.Machine.View(), request), nil
+	}
+	command := &apiv1.Command{Kind: &apiv1.Command_Edit{Edit: request}}
+	return s.proposeEdit(ctx, command, func(ctx context.Context, leader apiv1.Config) (*apiv1.EditResponse, error) {
+		return leader.Edit(ctx, request)
+	})
+}
+
+// Revert proposes a new version that restores an older one (twirp service Config).
+func (s *Server) Revert(ctx context.Context, request *apiv1.RevertRequest) (*apiv1.EditResponse, error) {
+	command := &apiv1.Command{Kind: &apiv1.Command_Revert{Revert: request}}
+	return s.proposeEdit(ctx, command, func(ctx context.Context, leader apiv1.Config) (*apiv1.EditResponse, error) {
+		return leader.Revert(ctx, request)
+	})
+}
+
+func dryRun(view *state.View, request *apiv1.EditRequest) *apiv1.EditResponse {
+	if _, refusal := state.Check(view, request); refusal != nil {
+		return refusal
+	}
+	return &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, Version: view.Version, Detail: "valid; nothing was changed"}
+}
+
+type forwardEdit func(ctx context.Context, leader apiv1.Config) (*apiv1.EditResponse, error)
+
+// proposeEdit answers every failure with a truthful outcome rather than with an error.
+func (s *Server) proposeEdit(ctx context.Context, command *apiv1.Command, forward forwardEdit) (*apiv1.EditResponse, error) {
+	result, err := s.propose(ctx, command)
+	if err == nil {
+		return result.Edit, nil
+	}
+	if errors.Is(err, replica.ErrNotLeader) {
+		marked, leader, noLeader := s.forward(ctx, err)
+		if noLeader == nil {
+			response, err := forward(marked, apiv1.NewConfigProtobufClient(leader, s.client))
+			if err == nil {
+				return response, nil
+			}
+			return &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_UNKNOWN, Detail: err.Error()}, nil
+		}
+		err = noLeader
+	}
+	return &apiv1.EditResponse{Outcome: failedOutcome(err), Detail: err.Error()}, nil
+}
+
+// Show returns branches of the tree (twirp service Config).
+func (s *Server) Show(ctx context.Context, request *apiv1.ShowRequest) (*apiv1.ShowResponse, error) {
+	freshness, err := s.read(ctx, request.Stale)
+	if err != nil {
+		return nil, err
+	}
+	view := s.options.Machine.View()
+	shown, version := view.Tree, view.Version
+	if request.Version != 0 {
+		older, ok := view.TreeAt(request.Version)
+		if !ok {
+			return nil, twirp.NotFoundError("the history does not hold this version")
+		}
+		shown, version = older, request.Version
+	}
+	response := &apiv1.ShowResponse{Version: version, Freshness: freshness}
+	for _, branch := range shown.Branches() {
+		if under(branch.Path.String(), request.Path) {
+			response.Branches = append(response.Branches, branch.Message())
+		}
+	}
+	return response, nil
+}
+
+// under reports whether a branch is at or below a path; the empty path and "/" are above all.
+func under(branch, path string) bool {
+	if path == "" || path == "/" || branch == path {
+		return true
+	}
+	return len(branch) > len(path) && branch[:len(path)+1] == path+"/"
+}
+
+// Explain resolves the settings that hold at a path (twirp service Config).
+func (s *Server) Explain(ctx context.Context, request *apiv1.ExplainRequest) (*apiv1.ExplainResponse, error) {
+	path, err := tree.ParsePath(request.Path)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("path", err.Error())
+	}
+	if request.Site != "" {
+		path = path.At(request.Site)
+	}
+	freshness, err := s.read(ctx, request.Stale)
+	if err != nil {
+		return nil, err
+	}
+	response := &apiv1.ExplainResponse{Freshness: freshness}
+	for _, resolved := range s.options.Machine.View().Tree.Explain(path) {
+		response.Settings = append(response.Settings, resolved.Message())
+	}
+	return response, nil
+}
+
+// History lists accepted versions (twirp service Config).
+func (s *Server) History(ctx context.Context, request *apiv1.HistoryRequest) (*apiv1.HistoryResponse, error) {
+	freshness, err := s.read(ctx, request.Stale)
+	if err != nil {
+		return nil, err
+	}
+	limit := int(request.Limit)
+	if limit == 0 {
+		limit = defaultHistoryLimit
+	}
+	entries := s.options.Machine.View().History(request.BeforeVersion, limit)
+	return &apiv1.HistoryResponse{Entries: entries, Freshness: freshness}, nil
+}
+
+// defaultHistoryLimit is the number of entries listed when a request names none.
+const defaultHistoryLimit = 20
--- /dev/null
+++ b/internal/control/membership_service.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/member"
+)
+
+// membershipService serves the twirp service Membership.
+type membershipService struct {
+	*Server
+}
+
+// Announce is served by nodes only.
+func (s membershipService) Announce(context.Context, *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "a backend server announces itself to the node beside it")
+}
+
+// Renew extends leases.
+func (s membershipService) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
+	s.members.Renew(request, s.now())
+	return &apiv1.RenewResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
+}
+
+// List lists the members that hold a lease.
+func (s membershipService) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
+	return s.members.Members(), nil
+}
--- /dev/null
+++ b/internal/control/moves_service.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/replica"
+)
+
+// maxFollowWait is the longest time that Follow is held open.
+const maxFollowWait = 30 * time.Second
+
+// movesService serves the twirp service Moves.
+type movesService struct {
+	*Server
+}
+
+// Start proposes a move.
+func (s movesService) Start(ctx context.Context, request *apiv1.StartMoveRequest) (*apiv1.MoveResponse, error) {
+	command := &apiv1.Command{Kind: &apiv1.Command_StartMove{StartMove: request}}
+	return s.proposeMove(ctx, command, func(ctx context.Context, leader apiv1.Moves) (*apiv1.MoveResponse, error) {
+		return leader.Start(ctx, request)
+	})
+}
+
+// Cancel proposes the end of a move; the old version keeps or regains all traffic.
+func (s movesService) Cancel(ctx context.Context, request *apiv1.CancelMoveRequest) (*apiv1.MoveResponse, error) {
+	command := &apiv1.Command{Kind: &apiv1.Command_CancelMove{CancelMove: request}}
+	return s.proposeMove(ctx, command, func(ctx context.Context, leader apiv1.Moves) (*apiv1.MoveResponse, error) {
+		return leader.Cancel(ctx, request)
+	})
+}
+
+type forwardMove func(ctx context.Context, leader apiv1.Moves) (*apiv1.MoveResponse, error)
+
+func (s movesService) proposeMove(ctx context.Context, command *apiv1.Command, forward forwardMove) (*apiv1.MoveResponse, error) {
+	result, err := s.propose(ctx, command)
+	if err == nil {
+		return result.Move, nil
+	}
+	if errors.Is(err, replica.ErrNotLeader) {
+		marked, leader, noLeader := s.forward(ctx, err)
+		if noLeader == nil {
+			response, err := forward(marked, apiv1.NewMovesProtobufClient(leader, s.client))
+			if err == nil {
+				return response, nil
+			}
+			return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_UNKNOWN, Detail: err.Error()}, nil
+		}
+		err = noLeader
+	}
+	return &apiv1.MoveResponse{Outcome: failedOutcome(err), Detail: err.Error()}, nil
+}
+
+// List lists moves, the newest last.
+func (s movesService) List(ctx context.Context, request *apiv1.ListMovesRequest) (*apiv1.ListMovesResponse, error) {
+	if _, err := s.read(ctx, true); err != nil {
+		return nil, err
+	}
+	response := &apiv1.ListMovesResponse{}
+	for _, move := range s.options.Machine.View().Moves() {
+		if request.Service != "" && move.Service != request.Service {
+			continue
+		}
+		if request.RunningOnly && move.EndedUnixMs != 0 {
+			continue
+		}
+		response.Moves = append(response.Moves, move)
+	}
+	return response, nil
+}
+
+// Follow waits for a change of a move.
+func (s movesService) Follow(ctx context.Context, request *apiv1.FollowMoveRequest) (*apiv1.MoveResponse, error) {
+	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxFollowWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := s.options.Machine.Changed()
+		move := s.options.Machine.View().Move(request.MoveId)
+		if move == nil && request.AfterRevision == 0 && wait == 0 {
+			return nil, twirp.NotFoundError("there is no such move")
+		}
+		if move != nil && move.Revision > request.AfterRevision {
+			return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, Move: move}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			if move == nil {
+				return nil, twirp.NotFoundError("there is no such move")
+			}
+			return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, Move: move}, nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/admin"
+	"samphireflow/internal/control"
+	"samphireflow/internal/node"
+	"samphireflow/internal/proxy"
+	"samphireflow/internal/replica"
+	"samphireflow/internal/settings"
+	"samphireflow/internal/state"
+)
+
+// Daemon is one process with its roles.
+type Daemon struct {
+	settings *settings.Settings
+	logger   zerolog.Logger
+	registry *prometheus.Registry
+
+	replica *replica.Replica
+	control *control.Server
+	node    *node.Node
+}
+
+// New prepares the roles. It opens the data folder of a control instance.
+func New(s *settings.Settings, logger zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, logger: logger, registry: prometheus.NewRegistry()}
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if s.IsControl() {
+		if err := d.openControl(); err != nil {
+			return nil, errors.WithMessage(err, "control")
+		}
+	}
+	if s.IsNode() {
+		d.node = node.New(node.Options{
+			Instance:      s.Instance,
+			FailureDomain: s.FailureDomain,
+			CallerAddr:    s.CallerAddr,
+			ControlAddr:   s.ControlAddr,
+			AdminAddr:     s.AdminAddr,
+			Control:       s.ControlAddrs(),
+			Logger:        logger.With().Str("role", "node").Logger(),
+		})
+	}
+	return d, nil
+}
+
+func (d *Daemon) openControl() error {
+	machine := state.NewMachine()
+	opened, err := replica.Open(replica.Options{
+		ID:           d.settings.Instance,
+		ClusterID:    clusterID(d.settings.ControlPeers),
+		Dir:          d.settings.DataDir,
+		Members:      members(d.settings.ControlPeers),
+		StateMachine: machine,
+		Logger:       d.logger.With().Str("role", "control").Logger(),
+	})
+	if err != nil {
+		return err
+	}
+	d.replica = opened
+	d.control = control.New(control.Options{
+		Instance: d.settings.Instance,
+		Log:      opened,
+		Machine:  machine,
+		Logger:   d.logger.With().Str("role", "control").Logger(),
+	})
+	return nil
+}
+
+func members(peers []settings.Peer) []replica.Member {
+	list := make([]replica.Member, 0, len(peers))
+	for _, peer := range peers {
+		list = append(list, replica.Member{ID: peer.Name, ControlAddr: peer.Addr})
+	}
+	return list
+}
+
+// clusterID names the control group, so that instances of two groups do not talk to each other by mistake.
+func clusterID([]settings.Peer) string {
+	return "samphireflow"
+}
+
+// Run serves until the context ends, then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, admin.Handler(d, d.registry)) })
+	group.Go(func() error { return serve(ctx, "control", d.settings.ControlAddr, d.controlHandler()) })
+	if d.control != nil {
+		group.Go(func() error { return d.control.Run(ctx) })
+	}
+	if d.node != nil {
+		group.Go(func() error { return d.node.Run(ctx) })
+		handler := proxy.New(d.node.Table, d.node.Recorder())
+		group.Go(func() error { return serve(ctx, "caller", d.settings.CallerAddr, handler) })
+	}
+	d.logger.Info().Str("addr", d.settings.ControlAddr).Msg("started")
+	err := group.Wait()
+	if d.replica != nil {
+		if closed := d.replica.Close(); err == nil {
+			err = closed
+		}
+	}
+	d.logger.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// controlHandler serves the twirp services of all roles of the process.
+func (d *Daemon) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	if d.control != nil {
+		d.control.Register(mux)
+		replication := apiv1.NewReplicationServer(d.replica.Server())
+		mux.Handle(replication.PathPrefix(), replication)
+	}
+	if d.node != nil {
+		inspect := apiv1.NewInspectServer(d.node)
+		mux.Handle(inspect.PathPrefix(), inspect)
+	}
+	if d.node != nil && d.control == nil {
+		membership := apiv1.NewMembershipServer(d.node)
+		mux.Handle(membership.PathPrefix(), membership)
+	}
+	return mux
+}
+
+// Ready reports whether all roles can serve.
+func (d *Daemon) Ready() bool {
+	if d.control != nil && !d.control.Ready() {
+		return false
+	}
+	return d.node == nil || d.node.Ready()
+}
--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon assembles the roles of one process from its settings.
+package daemon
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// shutdownTimeout is the time that requests in flight have at a planned stop.
+	shutdownTimeout = 30 * time.Second
+	// readHeaderTimeout bounds the time in which the header of a request must arrive.
+	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes is the largest header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// serve serves one address until the context ends, then lets the requests in flight end.
+func serve(ctx context.Context, name, addr string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s address", name)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrapf(err, "serve %s address", name)
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	return errors.Wrapf(server.Shutdown(stopping), "shut down %s address", name)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"flag"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+)
+
+// EnvPrefix opens the name of each environment variable: --control-addr is SAMPHIREFLOW_CONTROL_ADDR.
+const EnvPrefix = "SAMPHIREFLOW"
+
+// Role says which part of the system a process is.
+type Role string
+
+// The roles of a process.
+const (
+	RoleControl Role = "control"
+	RoleNode    Role = "node"
+	RoleBoth    Role = "both"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Role          Role   `validate:"required,oneof=control node both" flag:"role"`
+	Instance      string `validate:"required,name" flag:"instance"`
+	FailureDomain string `validate:"required,name" flag:"failure-domain"`
+	Region        string `validate:"required,name" flag:"region"`
+	ControlAddr   string `validate:"required,ipport" flag:"control-addr"`
+	CallerAddr    string `validate:"required_unless=Role control,omitempty,ipport" flag:"caller-addr"`
+	AdminAddr     string `validate:"required,ipport" flag:"admin-addr"`
+	DataDir       string `validate:"required_unless=Role node" flag:"data-dir"`
+	ControlPeers  []Peer `validate:"required,min=1,dive" flag:"control-peers"`
+	LogLevel      string `validate:"oneof=debug info warn error" flag:"log-level"`
+	TraceExporter string `validate:"oneof=none file otlp" flag:"trace-exporter"`
+	// TraceTarget is the file of the file exporter, or the URL of the OTLP/HTTP collector.
+	TraceTarget string `validate:"required_unless=TraceExporter none" flag:"trace-target"`
+	// TraceSample is the share of traces that are kept.
+	TraceSample float64 `validate:"gte=0,lte=1" flag:"trace-sample"`
+	// Check asks to check the settings and exit.
+	Check bool
+}
+
+// ErrUsage is wrapped by errors about the command line itself.
+var ErrUsage = errors.New("usage")
+
+// Parse reads flags and environment variables. Flags win. The error names every fault that was found; it wraps
+// ErrUsage or ErrInvalid.
+func Parse(args []string, usage io.Writer) (*Settings, error) {
+	s := &Settings{}
+	flags := flag.NewFlagSet("samphireflowd", flag.ContinueOnError)
+	flags.SetOutput(usage)
+	peers := s.define(flags)
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return nil, err
+		}
+		return nil, errors.Wrap(ErrUsage, err.Error())
+	}
+	if flags.NArg() > 0 {
+		return nil, errors.Wrapf(ErrUsage, "unexpected argument %q", flags.Arg(0))
+	}
+	var faults []string
+	s.ControlPeers, faults = parsePeers(*peers)
+	return s, s.validate(faults)
+}
+
+func (s *Settings) define(flags *flag.FlagSet) *string {
+	hostname, _ := os.Hostname()
+	flags.StringVar((*string)(&s.Role), "role", "", "control, node or both")
+	flags.StringVar(&s.Instance, "instance", strings.ToLower(hostname), "name of this instance")
+	flags.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this instance")
+	flags.StringVar(&s.Region, "region", "", "region of this instance")
+	flags.StringVar(&s.ControlAddr, "control-addr", "", "IP:port for the other processes of the system and for operators")
+	flags.StringVar(&s.CallerAddr, "caller-addr", "", "IP:port for callers (node)")
+	flags.StringVar(&s.AdminAddr, "admin-addr", "", "IP:port for metrics, liveness, readiness and the log level")
+	flags.StringVar(&s.DataDir, "data-dir", "", "data folder (control)")
+	flags.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	flags.StringVar(&s.TraceExporter, "trace-exporter", "none", "none, file or otlp")
+	flags.StringVar(&s.TraceTarget, "trace-target", "", "file, or URL of an OTLP/HTTP collector")
+	flags.Float64Var(&s.TraceSample, "trace-sample", 0, "share of traces that are kept, 0 to 1")
+	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
+	return flags.String("control-peers", "", "control instances as name=IP:port, separated by commas")
+}
+
+// IsControl reports whether the process has the control role.
+func (s *Settings) IsControl() bool {
+	return s.Role == RoleControl || s.Role == RoleBoth
+}
+
+// IsNode reports whether the process has the node role.
+func (s *Settings) IsNode() bool {
+	return s.Role == RoleNode || s.Role == RoleBoth
+}
+
+// ControlAddrs lists the addresses of the control instances.
+func (s *Settings) ControlAddrs() []string {
+	addrs := make([]string, 0, len(s.ControlPeers))
+	for _, peer := range s.ControlPeers {
+		addrs = append(addrs, peer.Addr)
+	}
+	return addrs
+}
