Add the command-line tool, thin

Operators had no way to reach the control instances.

The tool edits and reads the tree, starts and follows moves and shows instances through the twirp services. Every edit and move carries an ID, and is sent again with the same ID to the next control instance while its answer is lost or unknown.

Not run yet against the daemon.

--- /dev/null
+++ b/internal/cli/endpoint.go
@@ -0,0 +1,29 @@
+package cli
+
+import (
+	"net/http"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// endpoint is one instance with clients for the services on its control address.
+type endpoint struct {
+	address string
+	config  apiv1.Config
+	moves   apiv1.Moves
+	members apiv1.Membership
+	status  apiv1.Status
+	inspect apiv1.Inspect
+}
+
+func newEndpoint(address string, client *http.Client) *endpoint {
+	base := "http://" + address
+	return &endpoint{
+		address: address,
+		config:  apiv1.NewConfigProtobufClient(base, client),
+		moves:   apiv1.NewMovesProtobufClient(base, client),
+		members: apiv1.NewMembershipProtobufClient(base, client),
+		status:  apiv1.NewStatusProtobufClient(base, client),
+		inspect: apiv1.NewInspectProtobufClient(base, client),
+	}
+}
--- /dev/null
+++ b/internal/cli/history.go
@@ -0,0 +1,110 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+const defaultHistoryLimit = 20
+
+func historyCommand(s *session) *command {
+	request := &apiv1.HistoryRequest{}
+	var limit uint
+	return &command{
+		name: "history", args: "[--limit N] [--before VERSION] [--stale]", synopsis: "list accepted versions, newest first",
+		session: s,
+		flags: func(flags *flag.FlagSet) {
+			flags.UintVar(&limit, "limit", defaultHistoryLimit, "count of versions")
+			flags.Uint64Var(&request.BeforeVersion, "before", 0, "list versions older than this one; 0 for all")
+			flags.BoolVar(&request.Stale, "stale", false, "take an answer that may be old when no leader can be reached")
+		},
+		run: func(ctx context.Context, s *session, _ []string) error {
+			request.Limit = uint32(limit)
+			return history(ctx, s, request)
+		},
+	}
+}
+
+func history(ctx context.Context, s *session, request *apiv1.HistoryRequest) error {
+	g, err := s.group()
+	if err != nil {
+		return err
+	}
+	answer, err := read(ctx, g, func(ctx context.Context, to *endpoint) (*apiv1.HistoryResponse, error) {
+		return to.config.History(ctx, request)
+	})
+	if err != nil {
+		return err
+	}
+	p := s.printer()
+	return p.message(answer, func() error { return printHistory(p, answer) })
+}
+
+func printHistory(p *printer, answer *apiv1.HistoryResponse) error {
+	var rows [][]string
+	for _, entry := range answer.Entries {
+		source := entry.EditId
+		if entry.MoveId != "" {
+			source = "move " + entry.MoveId
+		}
+		rows = append(rows, []string{
+			strconv.FormatUint(entry.Version, 10), timeText(entry.AcceptedUnixMs), entry.Operator, source,
+			changedPaths(entry.Branches), entry.Comment,
+		})
+	}
+	return p.table([]string{"VERSION", "ACCEPTED", "OPERATOR", "BY", "BRANCHES", "COMMENT"}, rows)
+}
+
+func changedPaths(branches []*apiv1.BranchEdit) string {
+	var paths []string
+	for _, branch := range branches {
+		paths = append(paths, branch.Path)
+	}
+	return strings.Join(paths, " ")
+}
+
+// timeText returns a time in Unix milliseconds as RFC 3339 in UTC; "-" for none.
+func timeText(unixMs int64) string {
+	if unixMs == 0 {
+		return "-"
+	}
+	return time.UnixMilli(unixMs).UTC().Format(time.RFC3339)
+}
+
+func revertCommand(s *session) *command {
+	return &command{
+		name: "revert", args: "VERSION", synopsis: "make a new version with the branches of an older one",
+		minArgs: 1, maxArgs: 1, session: s,
+		run: func(ctx context.Context, s *session, args []string) error {
+			version, err := parseVersion(args[0])
+			if err != nil {
+				return err
+			}
+			return revert(ctx, s, version)
+		},
+	}
+}
+
+func revert(ctx context.Context, s *session, version uint64) error {
+	e, err := newEditor(ctx, s)
+	if err != nil {
+		return err
+	}
+	request := &apiv1.RevertRequest{
+		EditId: newID(), Operator: s.options.Operator, ToVersion: version, BaseVersion: e.current.Version,
+	}
+	answer, err := sendEdit(ctx, e.group, func(ctx context.Context, to *endpoint) (*apiv1.EditResponse, error) {
+		return to.config.Revert(ctx, request)
+	})
+	if err != nil {
+		return errors.Wrapf(err, "edit %s", request.EditId)
+	}
+	return e.report(request.EditId, answer, false)
+}
