Run the whole path on the replicated log

Cause: the parts of the first landing stood side by side. Change: the daemon opens the replicated log with its twirp transport; the stand-in of the log is gone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,9 @@
 	"samphireflow/internal/state"
 )
 
+// clusterID names the control group, so that instances of two groups do not talk to each other by mistake.
+const clusterID = "samphireflow"
+
 // Daemon is one process with its roles.
 type Daemon struct {
 	settings *settings.Settings
@@ -55,14 +58,20 @@
 }
 
 func (d *Daemon) openControl() error {
+	logger := d.logger.With().Str("role", "control").Logger()
 	machine := state.NewMachine()
 	opened, err := replica.Open(replica.Options{
 		ID:           d.settings.Instance,
-		ClusterID:    clusterID(d.settings.ControlPeers),
+		ClusterID:    clusterID,
 		Dir:          d.settings.DataDir,
 		Members:      members(d.settings.ControlPeers),
 		StateMachine: machine,
-		Logger:       d.logger.With().Str("role", "control").Logger(),
+		Transport: replica.NewTwirpTransport(replica.TwirpOptions{
+			ClusterID: clusterID,
+			OwnAddr:   d.settings.ControlAddr,
+			Logger:    logger,
+		}),
+		Logger: logger,
 	})
 	if err != nil {
 		return err
@@ -72,7 +81,7 @@
 		Instance: d.settings.Instance,
 		Log:      opened,
 		Machine:  machine,
-		Logger:   d.logger.With().Str("role", "control").Logger(),
+		Logger:   logger,
 	})
 	return nil
 }
@@ -85,11 +94,6 @@
 	return list
 }
 
-// clusterID names the control group, so that instances of two groups do not talk to each other by mistake.
-func clusterID([]settings.Peer) string {
-	return "samphireflow"
-}
-
 // Run serves until the context ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
