--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -29,3 +29,9 @@
 func (s membershipService) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
 	return s.members.Members(), nil
 }
+
+// CountMembers returns the number of nodes and backend servers that hold a lease.
+func (s *Server) CountMembers() (nodes, servers int) {
+	members := s.members.Members()
+	return len(members.Nodes), len(members.Servers)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -30,6 +29,7 @@
 	registry *prometheus.Registry
 
 	replica *replica.Replica
+	machine *state.Machine
 	control *control.Server
 	node    *node.Node
 }
@@ -37,7 +37,6 @@
 // New prepares the roles. It opens the data folder of a control instance.
 func New(s *settings.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: logger, registry: prometheus.NewRegistry()}
-	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if s.IsControl() {
 		if err := d.openControl(); err != nil {
 			return nil, errors.WithMessage(err, "control")
@@ -54,6 +53,7 @@
 			Logger:        logger.With().Str("role", "node").Logger(),
 		})
 	}
+	d.registerMetrics()
 	return d, nil
 }
 
@@ -77,6 +77,7 @@
 		return err
 	}
 	d.replica = opened
+	d.machine = machine
 	d.control = control.New(control.Options{
 		Instance: d.settings.Instance,
 		Log:      opened,
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"samphireflow/internal/metrics"
+)
+
+// registerMetrics exposes the process and its roles.
+func (d *Daemon) registerMetrics() {
+	d.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	if d.control != nil {
+		d.registry.MustRegister(metrics.NewControl(metrics.ControlSource{
+			Log:     d.replica.Status,
+			View:    d.machine.View,
+			Members: d.control.CountMembers,
+		}))
+	}
+	if d.node != nil {
+		d.registry.MustRegister(metrics.NewNode(d.node))
+	}
+}
--- a/internal/outcome/sum.go
+++ b/internal/outcome/sum.go
@@ -22,11 +22,13 @@
 
 	mu     sync.Mutex
 	counts map[Key]*apiv1.OutcomeCount
+	// totals holds what was taken before.
+	totals map[Key]Total
 }
 
 // NewSum returns an empty sum for the calls of one failure domain.
 func NewSum(failureDomain string) *Sum {
-	return &Sum{failureDomain: failureDomain, counts: map[Key]*apiv1.OutcomeCount{}}
+	return &Sum{failureDomain: failureDomain, counts: map[Key]*apiv1.OutcomeCount{}, totals: map[Key]Total{}}
 }
 
 // Record counts one call.
@@ -83,6 +85,12 @@
 	s.mu.Lock()
 	taken := s.counts
 	s.counts = map[Key]*apiv1.OutcomeCount{}
+	for key, count := range taken {
+		total := s.totals[key]
+		total.Key = key
+		total.add(count.Ok, count.Errors, count.Broken)
+		s.totals[key] = total
+	}
 	s.mu.Unlock()
 	list := make([]*apiv1.OutcomeCount, 0, len(taken))
 	for _, count := range taken {
--- a/internal/tree/undo.go
+++ b/internal/tree/undo.go
@@ -54,7 +54,8 @@
 	return older, nil
 }
 
-// RevertEdit returns the edit that turns the settings of t into those of target.
+// RevertEdit returns the edit that turns the settings of t into those of target. The version of a service stays:
+// only a move changes it.
 func (t *Tree) RevertEdit(target *Tree) []*apiv1.BranchEdit {
 	var edits []*apiv1.BranchEdit
 	for _, branch := range t.Branches() {
@@ -79,7 +80,7 @@
 	if current != nil {
 		edit.BaseVersion = current.Version
 		for _, setting := range current.Settings() {
-			if _, ok := wanted.Get(setting.Key); !ok {
+			if _, ok := wanted.Get(setting.Key); !ok && setting.Key != KeyServiceVersion {
 				edit.Changes = append(edit.Changes, &apiv1.Change{Key: setting.Key, Unset: true})
 			}
 		}
