Add silent cuts, freezes and restarts of real processes for the proofs

Cause: four issues need real processes that are killed, frozen and cut off, and should not each build that. Ruled out: network namespaces (not allowed here), closing sockets (a closed socket is not a silent partition). Conclusion: proofs can cut failure domains both ways and single processes one way.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,8 +26,14 @@
 	Version() Version
 }
 
-// Handler returns the handler of the admin address.
-func Handler(source Source, registry *prometheus.Registry) http.Handler {
+// Cutter cuts the process off from addresses.
+type Cutter interface {
+	// Cut replaces the set of addresses that the process is cut off from.
+	Cut(addresses []string)
+}
+
+// Handler returns the handler of the admin address. The cutter is nil without fault injection.
+func Handler(source Source, registry *prometheus.Registry, cutter Cutter) http.Handler {
 	e := echo.New()
 	e.HideBanner = true
 	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "alive\n") })
@@ -36,9 +42,26 @@
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
 	e.GET("/loglevel", func(c echo.Context) error { return c.JSON(http.StatusOK, logLevel{zerolog.GlobalLevel().String()}) })
 	e.PUT("/loglevel", setLogLevel)
+	if cutter != nil {
+		e.PUT("/cuts", func(c echo.Context) error { return setCuts(c, cutter) })
+	}
 	return e
 }
 
+// cuts is the body of PUT /cuts.
+type cuts struct {
+	Addresses []string `json:"addresses"`
+}
+
+func setCuts(c echo.Context, cutter Cutter) error {
+	var wanted cuts
+	if err := c.Bind(&wanted); err != nil {
+		return err
+	}
+	cutter.Cut(wanted.Addresses)
+	return c.JSON(http.StatusOK, wanted)
+}
+
 func ready(c echo.Context, source Source) error {
 	if !source.Ready() {
 		return c.String(http.StatusServiceUnavailable, "not ready\n")
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -10,6 +10,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/state"
@@ -56,8 +57,11 @@
 		builder:  newBuilder(),
 		outcomes: outcome.NewSum(""),
 		reports:  newReportFilter(),
-		client:   &http.Client{Timeout: forwardTimeout},
-		now:      time.Now,
+		client: &http.Client{
+			Timeout:   forwardTimeout,
+			Transport: &http.Transport{DialContext: netfault.Dialer(forwardTimeout)},
+		},
+		now: time.Now,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/admin"
 	"samphireflow/internal/control"
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
 	"samphireflow/internal/replica"
@@ -28,6 +28,8 @@
 	logger   zerolog.Logger
 	registry *prometheus.Registry
 
+	// faults is nil without fault injection.
+	faults  *netfault.Faults
 	replica *replica.Replica
 	machine *state.Machine
 	control *control.Server
@@ -37,6 +39,9 @@
 // New prepares the roles. It opens the data folder of a control instance.
 func New(s *settings.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: logger, registry: prometheus.NewRegistry()}
+	if s.FaultInjection {
+		d.faults = netfault.Enable()
+	}
 	if s.IsControl() {
 		if err := d.openControl(); err != nil {
 			return nil, errors.WithMessage(err, "control")
@@ -98,7 +103,7 @@
 // Run serves until the context ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, admin.Handler(d, d.registry)) })
+	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, d.adminHandler()) })
 	group.Go(func() error { return serve(ctx, "control", d.settings.ControlAddr, d.controlHandler()) })
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(ctx) })
--- /dev/null
+++ b/internal/deployment/faults.go
@@ -0,0 +1,151 @@
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// EnableFaultInjection lets Cut work on the processes that are started from now on.
+func (d *Deployment) EnableFaultInjection() {
+	d.planner.faultInjection = true
+}
+
+// CLI runs the command-line tool against the control instances and returns its standard output.
+func (d *Deployment) CLI(ctx context.Context, args ...string) (string, error) {
+	return d.cli.run(ctx, args...)
+}
+
+// StartVersion starts backend servers of another version of a service, a node beside each.
+func (d *Deployment) StartVersion(service, version string, firstNumber int) ([]Process, error) {
+	for _, known := range d.layout.Services {
+		if known.Name == service {
+			return d.startServers(known, version, firstNumber)
+		}
+	}
+	return nil, errors.Errorf("there is no service %q", service)
+}
+
+// Kill ends a process at once, as a crash does.
+func (d *Deployment) Kill(process Process) error {
+	return d.end(process, syscall.SIGKILL)
+}
+
+// Terminate ends a process gracefully and waits for its end.
+func (d *Deployment) Terminate(process Process) error {
+	return d.end(process, syscall.SIGTERM)
+}
+
+func (d *Deployment) end(process Process, signal syscall.Signal) error {
+	d.expect(process)
+	signalAll([]Process{process}, signal)
+	if !awaitGone([]Process{process}, startTimeout) {
+		return errors.Errorf("%s does not end", process.name())
+	}
+	return nil
+}
+
+// Freeze stops a process without ending it; Thaw lets it go on.
+func (d *Deployment) Freeze(process Process) error {
+	return errors.Wrapf(syscall.Kill(process.PID, syscall.SIGSTOP), "freeze %s", process.name())
+}
+
+// Thaw lets a frozen process go on.
+func (d *Deployment) Thaw(process Process) error {
+	return errors.Wrapf(syscall.Kill(process.PID, syscall.SIGCONT), "thaw %s", process.name())
+}
+
+// StartAgain starts a process that has ended, with the same command line, and returns it with its new PID.
+func (d *Deployment) StartAgain(process Process) (Process, error) {
+	if err := d.launcher.start(&process); err != nil {
+		return process, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.manifest.Processes {
+		if d.manifest.Processes[i].name() == process.name() {
+			d.manifest.Processes[i] = process
+		}
+	}
+	return process, nil
+}
+
+// BlankDisk deletes the data folder of a control instance that has ended.
+func (d *Deployment) BlankDisk(process Process) error {
+	folder := filepath.Join(d.dir, "data", process.Instance)
+	if err := os.RemoveAll(folder); err != nil {
+		return errors.Wrap(err, "blank a disk")
+	}
+	return errors.Wrap(os.MkdirAll(folder, 0o755), "blank a disk")
+}
+
+// Cut replaces the processes that one process of the system cannot send to. A cut is silent.
+func (d *Deployment) Cut(ctx context.Context, from Process, to ...Process) error {
+	wanted := struct {
+		Addresses []string `json:"addresses"`
+	}{Addresses: []string{}}
+	for _, process := range to {
+		for _, addr := range []string{process.CallerAddr, process.ControlAddr} {
+			if addr != "" {
+				wanted.Addresses = append(wanted.Addresses, addr)
+			}
+		}
+	}
+	body, err := json.Marshal(wanted)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+from.AdminAddr+"/cuts", bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "cut %s", from.name())
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("cut %s: %s", from.name(), response.Status)
+	}
+	return nil
+}
+
+// CutDomains cuts the processes in the given failure domains off from all others, both ways. Without a domain,
+// every cut heals.
+func (d *Deployment) CutDomains(ctx context.Context, domains ...string) error {
+	inside := map[string]bool{}
+	for _, domain := range domains {
+		inside[domain] = true
+	}
+	processes := d.Processes()
+	for _, from := range processes {
+		if from.Role == RoleBackendServer || !from.running() {
+			continue
+		}
+		if err := d.Cut(ctx, from, across(processes, inside, inside[from.FailureDomain])...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// across returns the processes on the other side of a cut.
+func across(processes []Process, inside map[string]bool, fromInside bool) []Process {
+	var list []Process
+	if len(inside) == 0 {
+		return list
+	}
+	for _, process := range processes {
+		if inside[process.FailureDomain] != fromInside {
+			list = append(list, process)
+		}
+	}
+	return list
+}
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -19,6 +19,8 @@
 	ports  *ports
 	// controlPeers lists the control instances as name=IP:port, separated by commas.
 	controlPeers string
+	// faultInjection starts daemons that can be cut off.
+	faultInjection bool
 }
 
 // controls plans the control instances.
@@ -93,6 +95,9 @@
 		"--control-peers", p.controlPeers,
 		"--log-level", "info",
 	}
+	if p.faultInjection {
+		argv = append(argv, "--fault-injection")
+	}
 	return append(argv, more...)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/routing"
 )
@@ -51,7 +52,11 @@
 
 // New returns a node that has not started.
 func New(options Options) *Node {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         netfault.Dialer(dialTimeout),
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     time.Minute,
+	}}
 	n := &Node{
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -29,6 +29,8 @@
 	watchWait = 10 * time.Second
 	// requestTimeout bounds every other request to a control instance.
 	requestTimeout = 2 * time.Second
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
 	// retryPause is the mean pause after a failed watch.
 	retryPause = 300 * time.Millisecond
 )
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/routing"
 )
 
@@ -41,13 +42,12 @@
 
 // New returns a proxy that reads the routing table anew for each call.
 func New(table func() *routing.Table, recorder Recorder) *Proxy {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Proxy{
 		table:    table,
 		recorder: recorder,
 		now:      time.Now,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         netfault.Dialer(dialTimeout),
 			MaxIdleConnsPerHost: connectionsPerServer,
 			MaxConnsPerHost:     connectionsPerServer,
 			IdleConnTimeout:     idleTimeout,
--- a/internal/replica/twirp_transport.go
+++ b/internal/replica/twirp_transport.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/netfault"
 )
 
 const (
@@ -46,10 +47,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &TwirpTransport{
 		options: options,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}},
-		ctx:     ctx,
-		cancel:  cancel,
-		peers:   map[string]*peer{},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         netfault.Dialer(options.Timeout),
+			MaxIdleConnsPerHost: idleConnections,
+		}},
+		ctx:    ctx,
+		cancel: cancel,
+		peers:  map[string]*peer{},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,8 @@
 	TraceTarget string `validate:"required_unless=TraceExporter none" flag:"trace-target"`
 	// TraceSample is the share of traces that are kept.
 	TraceSample float64 `validate:"gte=0,lte=1" flag:"trace-sample"`
+	// FaultInjection lets tests cut this process off from addresses through its admin address.
+	FaultInjection bool
 	// Check asks to check the settings and exit.
 	Check bool
 }
@@ -82,6 +84,7 @@
 	flags.StringVar(&s.TraceExporter, "trace-exporter", "none", "none, file or otlp")
 	flags.StringVar(&s.TraceTarget, "trace-target", "", "file, or URL of an OTLP/HTTP collector")
 	flags.Float64Var(&s.TraceSample, "trace-sample", 0, "share of traces that are kept, 0 to 1")
+	flags.BoolVar(&s.FaultInjection, "fault-injection", false, "let tests cut this process off from addresses")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return flags.String("control-peers", "", "control instances as name=IP:port, separated by commas")
 }
