Add agreed sets of nodes for relays and claim holders

Cause: relays and idempotency claims count quorums, and soft membership gives two nodes different sets.

--- /dev/null
+++ b/internal/assign/planner.go
@@ -0,0 +1,205 @@
+// Package assign decides which nodes of a failure domain have a role that needs an agreed set: relays and claim
+// holders. It is pure: the clock is passed in.
+package assign
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+const (
+	// setSize is the number of nodes in a set where a failure domain has that many; sets are odd.
+	setSize = 3
+	// replaceAfter is the time for which a node of a set must be gone before another takes its place.
+	replaceAfter = 30 * time.Second
+	// settleTime is the time after a planner's start in which it founds no set, so that nodes can renew first.
+	settleTime = 2 * time.Second
+)
+
+var roles = []apiv1.AssignmentRole{
+	apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY,
+	apiv1.AssignmentRole_ASSIGNMENT_ROLE_CLAIM_HOLDER,
+}
+
+// Planner remembers when it last saw each node. It is owned by one goroutine, and used while its process leads.
+type Planner struct {
+	started time.Time
+	seen    map[string]time.Time
+}
+
+// NewPlanner returns a planner that counts every node as seen at its start.
+func NewPlanner(now time.Time) *Planner {
+	return &Planner{started: now, seen: map[string]time.Time{}}
+}
+
+// Plan returns the next change of each set that wants one.
+//
+// A set is changed by one node at a time and only while a majority of it is live: when the majority is out of
+// sight, the failure domain may be cut off with its set at work, and a change would split the set.
+func (p *Planner) Plan(current []*apiv1.Assignment, live []*apiv1.NodeInfo, now time.Time) []*apiv1.Assignment {
+	byDomain := map[string][]*apiv1.NodeInfo{}
+	for _, node := range live {
+		p.seen[node.Instance] = now
+		byDomain[node.FailureDomain] = append(byDomain[node.FailureDomain], node)
+	}
+	if now.Sub(p.started) < settleTime {
+		return nil
+	}
+	var changes []*apiv1.Assignment
+	for _, domain := range sortedKeys(byDomain) {
+		for _, role := range roles {
+			if change := p.planSet(find(current, domain, role), byDomain[domain], domain, role, now); change != nil {
+				changes = append(changes, change)
+			}
+		}
+	}
+	return changes
+}
+
+func (p *Planner) planSet(current *apiv1.Assignment, live []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole, now time.Time) *apiv1.Assignment {
+	ranked := rank(live, domain, role)
+	if current == nil {
+		return found(ranked, domain, role)
+	}
+	liveByName := map[string]*apiv1.NodeInfo{}
+	for _, node := range live {
+		liveByName[node.Instance] = node
+	}
+	if !majorityLive(current, liveByName) {
+		return nil
+	}
+	next := proto.Clone(current).(*apiv1.Assignment)
+	next.Epoch++
+	switch {
+	case moveAddress(next, liveByName):
+		return next
+	case len(current.Nodes) < wantedSize(len(live)):
+		return p.grow(next, ranked)
+	}
+	return p.replaceGone(next, ranked, liveByName, now)
+}
+
+// found makes the first set of a failure domain.
+func found(ranked []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole) *apiv1.Assignment {
+	first := &apiv1.Assignment{FailureDomain: domain, Role: role, Epoch: 1}
+	for _, node := range ranked[:wantedSize(len(ranked))] {
+		first.Nodes = append(first.Nodes, assigned(node))
+	}
+	return first
+}
+
+// moveAddress takes over the address of a node that came back under another one.
+func moveAddress(next *apiv1.Assignment, live map[string]*apiv1.NodeInfo) bool {
+	for _, node := range next.Nodes {
+		if now := live[node.Instance]; now != nil && now.ControlAddr != node.ControlAddr {
+			node.ControlAddr = now.ControlAddr
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) grow(next *apiv1.Assignment, ranked []*apiv1.NodeInfo) *apiv1.Assignment {
+	if node := firstOutside(next, ranked); node != nil {
+		next.Nodes = append(next.Nodes, assigned(node))
+		return next
+	}
+	return nil
+}
+
+func (p *Planner) replaceGone(next *apiv1.Assignment, ranked []*apiv1.NodeInfo, live map[string]*apiv1.NodeInfo, now time.Time) *apiv1.Assignment {
+	for i, node := range next.Nodes {
+		if live[node.Instance] != nil || now.Sub(p.lastSeen(node.Instance)) < replaceAfter {
+			continue
+		}
+		substitute := firstOutside(next, ranked)
+		if substitute == nil {
+			return nil
+		}
+		next.Nodes[i] = assigned(substitute)
+		return next
+	}
+	return nil
+}
+
+func (p *Planner) lastSeen(instance string) time.Time {
+	if seen, ok := p.seen[instance]; ok {
+		return seen
+	}
+	return p.started
+}
+
+func assigned(node *apiv1.NodeInfo) *apiv1.AssignedNode {
+	return &apiv1.AssignedNode{Instance: node.Instance, ControlAddr: node.ControlAddr}
+}
+
+func firstOutside(set *apiv1.Assignment, ranked []*apiv1.NodeInfo) *apiv1.NodeInfo {
+	for _, node := range ranked {
+		if !contains(set, node.Instance) {
+			return node
+		}
+	}
+	return nil
+}
+
+func contains(set *apiv1.Assignment, instance string) bool {
+	for _, node := range set.Nodes {
+		if node.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+func majorityLive(set *apiv1.Assignment, live map[string]*apiv1.NodeInfo) bool {
+	count := 0
+	for _, node := range set.Nodes {
+		if live[node.Instance] != nil {
+			count++
+		}
+	}
+	return count > len(set.Nodes)/2
+}
+
+// wantedSize is the largest odd number up to setSize that a failure domain of n nodes can fill.
+func wantedSize(n int) int {
+	size := min(n, setSize)
+	if size%2 == 0 {
+		size--
+	}
+	return max(size, 0)
+}
+
+// rank orders nodes by rendezvous hashing (Thaler and Ravishankar, 1998), so that a set moves little as nodes come
+// and go.
+func rank(nodes []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole) []*apiv1.NodeInfo {
+	score := func(node *apiv1.NodeInfo) uint64 {
+		return xxhash.Sum64String(domain + "/" + role.String() + "/" + node.Instance)
+	}
+	ranked := append([]*apiv1.NodeInfo(nil), nodes...)
+	sort.Slice(ranked, func(i, j int) bool { return score(ranked[i]) < score(ranked[j]) })
+	return ranked
+}
+
+func find(list []*apiv1.Assignment, domain string, role apiv1.AssignmentRole) *apiv1.Assignment {
+	for _, assignment := range list {
+		if assignment.FailureDomain == domain && assignment.Role == role {
+			return assignment
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -83,6 +83,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.expireLoop(ctx) })
 	group.Go(func() error { return s.moveLoop(ctx) })
+	group.Go(func() error { return s.assignLoop(ctx) })
 	return group.Wait()
 }
 
--- /dev/null
+++ b/internal/snapshot/assignments.go
@@ -0,0 +1,57 @@
+package snapshot
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// assignmentKey names an assignment.
+type assignmentKey struct {
+	failureDomain string
+	role          apiv1.AssignmentRole
+}
+
+func keyOfAssignment(a *apiv1.Assignment) assignmentKey {
+	return assignmentKey{a.FailureDomain, a.Role}
+}
+
+// diffAssignments lists the assignments that changed. Assignments are never removed.
+func diffAssignments(from, to []*apiv1.Assignment) []*apiv1.Assignment {
+	old := indexAssignments(from)
+	var changed []*apiv1.Assignment
+	for _, assignment := range to {
+		if before := old[keyOfAssignment(assignment)]; !proto.Equal(before, assignment) {
+			changed = append(changed, assignment)
+		}
+	}
+	return changed
+}
+
+func applyAssignments(from, changed []*apiv1.Assignment) []*apiv1.Assignment {
+	merged := indexAssignments(from)
+	for _, assignment := range changed {
+		merged[keyOfAssignment(assignment)] = assignment
+	}
+	list := make([]*apiv1.Assignment, 0, len(merged))
+	for _, assignment := range merged {
+		list = append(list, assignment)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].FailureDomain != list[j].FailureDomain {
+			return list[i].FailureDomain < list[j].FailureDomain
+		}
+		return list[i].Role < list[j].Role
+	})
+	return list
+}
+
+func indexAssignments(list []*apiv1.Assignment) map[assignmentKey]*apiv1.Assignment {
+	index := make(map[assignmentKey]*apiv1.Assignment, len(list))
+	for _, assignment := range list {
+		index[keyOfAssignment(assignment)] = assignment
+	}
+	return index
+}
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -20,6 +20,7 @@
 	for _, branch := range view.Tree.AtLevel(tree.LevelResource) {
 		snap.Resources = append(snap.Resources, buildResource(view.Tree, branch.Path))
 	}
+	snap.Assignments = assignmentsFor(view, failureDomain)
 	sortEntities(snap.Services)
 	sortEntities(snap.Routes)
 	sortEntities(snap.Resources)
@@ -27,6 +28,18 @@
 	return snap
 }
 
+// assignmentsFor lists what the nodes of a failure domain need to know of the agreed sets.
+func assignmentsFor(view *state.View, failureDomain string) []*apiv1.Assignment {
+	var list []*apiv1.Assignment
+	for _, assignment := range view.Assignments() {
+		isRelay := assignment.Role == apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY
+		if !isRelay || assignment.FailureDomain == failureDomain {
+			list = append(list, assignment)
+		}
+	}
+	return list
+}
+
 func buildService(view *state.View, path tree.Path) *apiv1.ServiceConfig {
 	service := &apiv1.ServiceConfig{
 		Name:     path.Service,
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -21,6 +21,7 @@
 	delta.Services, delta.RemovedServices = diffEntities(from.Services, to.Services)
 	delta.Routes, delta.RemovedRoutes = diffEntities(from.Routes, to.Routes)
 	delta.Resources, delta.RemovedResources = diffEntities(from.Resources, to.Resources)
+	delta.Assignments = diffAssignments(from.Assignments, to.Assignments)
 	return delta
 }
 
@@ -56,6 +57,7 @@
 		Services:      applyEntities(from.Services, delta.Services, delta.RemovedServices),
 		Routes:        applyEntities(from.Routes, delta.Routes, delta.RemovedRoutes),
 		Resources:     applyEntities(from.Resources, delta.Resources, delta.RemovedResources),
+		Assignments:   applyAssignments(from.Assignments, delta.Assignments),
 		Digest:        delta.Digest,
 	}
 	return next, Check(next)
--- a/internal/snapshot/digest.go
+++ b/internal/snapshot/digest.go
@@ -27,5 +27,8 @@
 	for _, resource := range snap.Resources {
 		add(resource)
 	}
+	for _, assignment := range snap.Assignments {
+		add(assignment)
+	}
 	return hash.Sum64()
 }
--- a/internal/state/image.go
+++ b/internal/state/image.go
@@ -19,6 +19,7 @@
 	view.Term = image.Term
 	view.Tree = restored
 	view.history = image.History
+	view.assignments = image.Assignments
 	for _, move := range image.Moves {
 		view.moves[move.Id] = move
 		view.order = append(view.order, move.Id)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -82,6 +82,8 @@
 		return &apiv1.CommandResult{Move: m.cancelMove(kind.CancelMove, command.ProposedUnixMs, term)}
 	case *apiv1.Command_StepMove:
 		return &apiv1.CommandResult{Move: m.stepMove(kind.StepMove, command.ProposedUnixMs, term)}
+	case *apiv1.Command_Assign:
+		return &apiv1.CommandResult{Edit: m.assign(kind.Assign, command.ProposedUnixMs, term)}
 	}
 	return refused("unknown command")
 }
@@ -157,6 +159,7 @@
 		Answers:         m.answers.list(),
 		Moves:           view.Moves(),
 		ServiceVersions: versionMessages(view.versions),
+		Assignments:     view.assignments,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(image)
 	return data, errors.Wrap(err, "encode state")
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -17,8 +17,9 @@
 	// moves holds every move that is remembered, by ID.
 	moves map[string]*apiv1.Move
 	// order lists move IDs from the oldest to the newest.
-	order   []string
-	history []*apiv1.HistoryEntry
+	order       []string
+	history     []*apiv1.HistoryEntry
+	assignments []*apiv1.Assignment
 }
 
 func emptyView() *View {
