--- a/internal/deployment/answer.go
+++ b/internal/deployment/answer.go
@@ -7,24 +7,12 @@
 	"github.com/pkg/errors"
 
 	"samphireflow/internal/backendserver"
+	"samphireflow/internal/proxy"
 )
 
-// outcome is what the caller of a request is told about its execution.
-type outcome string
-
-// The outcomes of the header Samphireflow-Outcome.
-const (
-	outcomeDone    outcome = "done"
-	outcomeNotRun  outcome = "not-run"
-	outcomeUnknown outcome = "unknown"
-)
-
-// headerOutcome is the header that tells the outcome.
-const headerOutcome = "Samphireflow-Outcome"
-
 // answer is what a caller got for one request.
 type answer struct {
-	outcome outcome
+	outcome proxy.Outcome
 	status  int
 	// version is the backend server version that answered; empty if none did.
 	version string
@@ -34,7 +22,7 @@
 
 // good reports whether a backend server answered with success.
 func (a *answer) good() bool {
-	return a.outcome == outcomeDone && a.status == http.StatusOK
+	return a.outcome == proxy.OutcomeDone && a.status == http.StatusOK
 }
 
 // checkEcho returns an error unless the body of an answer belongs to the request.
--- a/internal/deployment/demo.go
+++ b/internal/deployment/demo.go
@@ -100,6 +100,7 @@
 	return list
 }
 
+// seconds writes a duration for the table.
 func seconds(duration time.Duration) string {
-	return fmt.Sprintf("%.1f s", duration.Seconds())
+	return fmt.Sprintf("%.2f s", duration.Seconds())
 }
--- a/internal/deployment/demo_steps.go
+++ b/internal/deployment/demo_steps.go
@@ -288,7 +288,7 @@
 	if err := checkRuns(told, runs); err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%d bookings, %d executions", len(told), len(runs)), nil
+	return fmt.Sprintf("%d bookings, %d without an answer, %d executions", len(told), unanswered(told), len(runs)), nil
 }
 
 func (d *demo) stepStop(context.Context) (string, error) {
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -12,6 +12,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
 
+	"samphireflow/internal/proxy"
 	"samphireflow/internal/tree"
 )
 
@@ -99,16 +100,16 @@
 
 func TestRunsAreComparedWithWhatCallersWereTold(t *testing.T) {
 	tests := []struct {
-		told outcome
+		told proxy.Outcome
 		runs int
 		ok   bool
 	}{
-		{outcomeDone, 1, true}, {outcomeDone, 0, false}, {outcomeDone, 2, false},
-		{outcomeNotRun, 0, true}, {outcomeNotRun, 1, false},
-		{outcomeUnknown, 0, true}, {outcomeUnknown, 1, true}, {outcomeUnknown, 2, false},
+		{proxy.OutcomeDone, 1, true}, {proxy.OutcomeDone, 0, false}, {proxy.OutcomeDone, 2, false},
+		{proxy.OutcomeNotRun, 0, true}, {proxy.OutcomeNotRun, 1, false},
+		{proxy.OutcomeUnknown, 0, true}, {proxy.OutcomeUnknown, 1, true}, {proxy.OutcomeUnknown, 2, false},
 	}
 	for _, test := range tests {
-		err := checkRuns(map[string]outcome{"k": test.told}, map[string]int{"k": test.runs})
+		err := checkRuns(map[string]proxy.Outcome{"k": test.told}, map[string]int{"k": test.runs})
 		require.Equal(t, test.ok, err == nil, "%s, %d runs", test.told, test.runs)
 	}
 }
@@ -118,7 +119,7 @@
 	mine, other := newRequest(route, "hobart", 1), newRequest(route, "hobart", 2)
 	body := []byte(`{"key": "` + mine.key + `", "body_digest": "` + mine.bodyDigest() + `"}`)
 	recorder := httptest.NewRecorder()
-	recorder.Header().Set(headerOutcome, string(outcomeDone))
+	recorder.Header().Set(proxy.HeaderOutcome, string(proxy.OutcomeDone))
 	response := recorder.Result()
 	got := mine.judge(response, body)
 	require.Empty(t, got.fault)
@@ -127,7 +128,7 @@
 	require.NotEmpty(t, got.fault)
 	got = mine.judge(response, body[:10])
 	require.NotEmpty(t, got.fault)
-	response.Header.Del(headerOutcome)
+	response.Header.Del(proxy.HeaderOutcome)
 	got = mine.judge(response, body)
 	require.NotEmpty(t, got.fault)
 }
--- a/internal/deployment/request.go
+++ b/internal/deployment/request.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"samphireflow/internal/backendserver"
+	"samphireflow/internal/proxy"
 )
 
 // request is one request of a caller. Its key and body are unlike those of any other request.
@@ -56,12 +57,12 @@
 		return answer{}, errRefused
 	}
 	if err != nil {
-		return answer{outcome: outcomeUnknown}, nil
+		return answer{outcome: proxy.OutcomeUnknown}, nil
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return answer{outcome: outcomeUnknown}, nil
+		return answer{outcome: proxy.OutcomeUnknown}, nil
 	}
 	return r.judge(response, body), nil
 }
@@ -73,9 +74,9 @@
 
 // judge turns a response into what the caller got.
 func (r *request) judge(response *http.Response, body []byte) answer {
-	got := answer{outcome: outcome(response.Header.Get(headerOutcome)), status: response.StatusCode}
+	got := answer{outcome: proxy.Outcome(response.Header.Get(proxy.HeaderOutcome)), status: response.StatusCode}
 	switch got.outcome {
-	case outcomeDone:
+	case proxy.OutcomeDone:
 		got.version = response.Header.Get(backendserver.HeaderVersion)
 		if got.status != http.StatusOK {
 			break
@@ -83,7 +84,7 @@
 		if err := r.checkEcho(body); err != nil {
 			got.fault = err.Error()
 		}
-	case outcomeNotRun, outcomeUnknown:
+	case proxy.OutcomeNotRun, proxy.OutcomeUnknown:
 	default:
 		got.fault = "the answer carries no outcome"
 	}
--- a/internal/deployment/runs.go
+++ b/internal/deployment/runs.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"samphireflow/internal/backendserver"
+	"samphireflow/internal/proxy"
 )
 
 // countRuns asks backend servers how often each key was run.
@@ -50,18 +51,29 @@
 }
 
 // checkRuns compares what callers were told with what was run. It returns the first breach it finds.
-func checkRuns(told map[string]outcome, runs map[string]int) error {
+func checkRuns(told map[string]proxy.Outcome, runs map[string]int) error {
 	for key, outcome := range told {
 		n := runs[key]
 		if n > 1 {
 			return fmt.Errorf("key %s was run %d times", key, n)
 		}
-		if outcome == outcomeNotRun && n != 0 {
+		if outcome == proxy.OutcomeNotRun && n != 0 {
 			return fmt.Errorf("key %s was run but its caller was told not-run", key)
 		}
-		if outcome == outcomeDone && n != 1 {
+		if outcome == proxy.OutcomeDone && n != 1 {
 			return fmt.Errorf("key %s was not run but its caller got an answer", key)
 		}
 	}
 	return nil
 }
+
+// unanswered counts the requests whose callers do not know their fate.
+func unanswered(told map[string]proxy.Outcome) int {
+	count := 0
+	for _, outcome := range told {
+		if outcome == proxy.OutcomeUnknown {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/deployment/tally.go
+++ b/internal/deployment/tally.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"samphireflow/internal/proxy"
 )
 
 // served identifies the calls of a failure domain to a service that one version answered.
@@ -24,12 +26,12 @@
 	counts map[served]count
 	// last is the time of the last answer of each service and version.
 	last   map[served]time.Time
-	told   map[string]outcome
+	told   map[string]proxy.Outcome
 	faults []string
 }
 
 func newTally() *tally {
-	return &tally{counts: map[served]count{}, last: map[served]time.Time{}, told: map[string]outcome{}}
+	return &tally{counts: map[served]count{}, last: map[served]time.Time{}, told: map[string]proxy.Outcome{}}
 }
 
 func (t *tally) record(domain string, request *request, got answer, now time.Time) {
@@ -80,10 +82,10 @@
 }
 
 // toldByKey returns what was told about each key.
-func (t *tally) toldByKey() map[string]outcome {
+func (t *tally) toldByKey() map[string]proxy.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	told := make(map[string]outcome, len(t.told))
+	told := make(map[string]proxy.Outcome, len(t.told))
 	for key, outcome := range t.told {
 		told[key] = outcome
 	}
--- a/internal/deployment/traffic.go
+++ b/internal/deployment/traffic.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"samphireflow/internal/proxy"
 )
 
 const (
@@ -78,5 +80,5 @@
 			return got
 		}
 	}
-	return answer{outcome: outcomeNotRun}
+	return answer{outcome: proxy.OutcomeNotRun}
 }
