Wait for the command line of a started process in the test of down

Ruled out: a reused PID; the process was the test's own. Change: the test waits until the process shows its command line; what follows is as strict as before.

--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
@@ -85,7 +86,8 @@
 	process := Process{Role: RoleNode, PID: cmd.Process.Pid, Argv: []string{"samphireflowd", "--role", "node"}}
 	require.NoError(t, stopAll([]Process{process}))
 	process.Argv = cmd.Args
-	require.True(t, process.running())
+	// The command line of a process is empty for a moment after its start.
+	require.Eventually(t, process.running, time.Minute, time.Millisecond)
 	dir := t.TempDir()
 	manifest := Manifest{Processes: []Process{process}}
 	require.NoError(t, manifest.write(dir))
