--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -10,6 +10,9 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	apiv1 "samphireflow/api/v1"
 )
 
 // EnableFaultInjection lets Cut work on the processes that are started from now on.
@@ -149,3 +152,21 @@
 	}
 	return list
 }
+
+// CountRuns asks all backend servers how often each key was run.
+func (d *Deployment) CountRuns(ctx context.Context) (map[string]int, error) {
+	return countRuns(ctx, byRole(d.Processes(), RoleBackendServer))
+}
+
+// AcceptedVersion asks the control group for the newest accepted configuration version.
+func (d *Deployment) AcceptedVersion(ctx context.Context) (uint64, error) {
+	text, err := d.cli.run(ctx, "--output", "json", "show", "/")
+	if err != nil {
+		return 0, err
+	}
+	shown := &apiv1.ShowResponse{}
+	if err := protojson.Unmarshal([]byte(text), shown); err != nil {
+		return 0, errors.Wrap(err, "read the accepted version")
+	}
+	return shown.Version, nil
+}
