Add traces: a span for each hop, to a file or a collector

Cause: operators need to see where a call went and what each hop cost. Control instances make spans only of requests that name a trace, so long polls and heartbeats make none. Without an exporter nothing is wrapped and the caller's context is passed on as it came. Ruled out: otelhttp, which is not among the project's libraries.

--- a/cmd/backendserver/main.go
+++ b/cmd/backendserver/main.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireflow/internal/backendserver"
+	"samphireflow/internal/tracing"
 )
 
 const (
@@ -40,11 +41,20 @@
 }
 
 func run(cfg backendserver.Config, log zerolog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	endTraces, err := tracing.Setup(ctx, cfg.TraceOptions())
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err := endTraces(); err != nil {
+			log.Warn().Err(err).Msg("some spans were lost")
+		}
+	}()
 	server, err := backendserver.New(cfg, log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return server.Run(ctx)
 }
--- a/cmd/samphireflowd/main.go
+++ b/cmd/samphireflowd/main.go
@@ -14,6 +14,7 @@
 
 	"samphireflow/internal/daemon"
 	"samphireflow/internal/settings"
+	"samphireflow/internal/tracing"
 )
 
 // Exit codes of the daemon.
@@ -51,6 +52,16 @@
 	logger := newLogger(s)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	endTraces, err := tracing.Setup(ctx, traceOptions(s))
+	if err != nil {
+		logger.Error().Err(err).Msg("start failed")
+		return exitFailed
+	}
+	defer func() {
+		if err := endTraces(); err != nil {
+			logger.Warn().Err(err).Msg("some spans were lost")
+		}
+	}()
 	d, err := daemon.New(s, logger)
 	if err != nil {
 		logger.Error().Err(err).Msg("start failed")
@@ -63,6 +74,17 @@
 	return exitOK
 }
 
+func traceOptions(s *settings.Settings) tracing.Options {
+	return tracing.Options{
+		Exporter:      tracing.Exporter(s.TraceExporter),
+		Target:        s.TraceTarget,
+		Sample:        s.TraceSample,
+		Role:          string(s.Role),
+		Instance:      s.Instance,
+		FailureDomain: s.FailureDomain,
+	}
+}
+
 func newLogger(s *settings.Settings) zerolog.Logger {
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
--- a/internal/backendserver/config.go
+++ b/internal/backendserver/config.go
@@ -9,6 +9,8 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
+
+	"samphireflow/internal/tracing"
 )
 
 // EnvPrefix starts the name of the environment variable of each flag.
@@ -48,6 +50,10 @@
 	DrainLinger time.Duration `flag:"drain-linger" validate:"min=0"`
 	// DrainTimeout bounds the time in which calls in flight are finished.
 	DrainTimeout time.Duration `flag:"drain-timeout" validate:"min=0"`
+	// TraceExporter is none, file or otlp; TraceTarget is the file or the URL of the collector.
+	TraceExporter string  `flag:"trace-exporter" validate:"oneof=none file otlp"`
+	TraceTarget   string  `flag:"trace-target" validate:"required_unless=TraceExporter none"`
+	TraceSample   float64 `flag:"trace-sample" validate:"min=0,max=1"`
 	// Seed starts the random source of the work times; 0 takes it from the clock.
 	Seed uint64 `flag:"seed"`
 }
@@ -83,6 +89,9 @@
 	flags.StringVar(&c.CrashMarker, "crash-marker", "", "text in a path or body that ends the process")
 	flags.DurationVar(&c.DrainLinger, "drain-linger", 2*time.Second, "time for which a stopping server still accepts calls")
 	flags.DurationVar(&c.DrainTimeout, "drain-timeout", 30*time.Second, "time in which calls in flight are finished")
+	flags.StringVar(&c.TraceExporter, "trace-exporter", "none", "none, file or otlp")
+	flags.StringVar(&c.TraceTarget, "trace-target", "", "file, or URL of an OTLP/HTTP collector")
+	flags.Float64Var(&c.TraceSample, "trace-sample", 0, "share of new traces that are kept, 0 to 1")
 	flags.Uint64Var(&c.Seed, "seed", 0, "start of the random source; 0 takes the clock")
 	return flags
 }
@@ -108,3 +117,15 @@
 	}
 	return "--" + fault.Field() + ": " + quote(fault.Value()) + " breaks the rule: " + rule
 }
+
+// TraceOptions returns the settings of the traces.
+func (c *Config) TraceOptions() tracing.Options {
+	return tracing.Options{
+		Exporter:      tracing.Exporter(c.TraceExporter),
+		Target:        c.TraceTarget,
+		Sample:        c.TraceSample,
+		Role:          role,
+		Instance:      c.Instance,
+		FailureDomain: c.FailureDomain,
+	}
+}
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -15,8 +15,12 @@
 	"github.com/rs/zerolog"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tracing"
 )
 
+// role names the process in traces.
+const role = "backend-server"
+
 // ExitCrashed is the exit code of a backend server that a fault or a crashing request has ended.
 const ExitCrashed = 70
 
@@ -75,7 +79,7 @@
 func (s *Server) callRoutes() http.Handler {
 	router := echo.New()
 	router.Any("/*", s.serveCall)
-	return router
+	return tracing.Handler(role, router)
 }
 
 // Run serves until the context ends, then drains and returns once the calls in flight are finished.
--- a/internal/backendserver/server_test.go
+++ b/internal/backendserver/server_test.go
@@ -20,7 +20,7 @@
 	return Config{
 		Instance: "hobart-1", FailureDomain: "hobart", Service: "rota-board", Version: "v1",
 		Addr: "127.0.0.1:1", AdminAddr: "127.0.0.1:2",
-		Slots: 1, QueueLength: 0, Connections: 10, Seed: 1,
+		Slots: 1, QueueLength: 0, Connections: 10, TraceExporter: "none", Seed: 1,
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,6 +14,7 @@
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/state"
+	"samphireflow/internal/tracing"
 )
 
 // Log is the replicated log as this package uses it; *replica.Replica is one.
@@ -59,7 +60,7 @@
 		reports:  newReportFilter(),
 		client: &http.Client{
 			Timeout:   forwardTimeout,
-			Transport: &http.Transport{DialContext: netfault.Dialer(forwardTimeout)},
+			Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
 		},
 		now: time.Now,
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"samphireflow/internal/replica"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/state"
+	"samphireflow/internal/tracing"
 )
 
 // clusterID names the control group, so that instances of two groups do not talk to each other by mistake.
@@ -104,13 +105,15 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, d.adminHandler()) })
-	group.Go(func() error { return serve(ctx, "control", d.settings.ControlAddr, d.controlHandler()) })
+	group.Go(func() error {
+		return serve(ctx, "control", d.settings.ControlAddr, tracing.TracedOnly("control", d.controlHandler()))
+	})
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(ctx) })
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(ctx) })
-		handler := proxy.New(d.node.Table, d.node.Recorder())
+		handler := tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder()))
 		group.Go(func() error { return serve(ctx, "caller", d.settings.CallerAddr, handler) })
 	}
 	d.logger.Info().Str("addr", d.settings.ControlAddr).Msg("started")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/routing"
+	"samphireflow/internal/tracing"
 )
 
 const (
@@ -36,7 +37,7 @@
 type Proxy struct {
 	table     func() *routing.Table
 	recorder  Recorder
-	transport *http.Transport
+	transport http.RoundTripper
 	now       func() time.Time
 }
 
@@ -46,13 +47,13 @@
 		table:    table,
 		recorder: recorder,
 		now:      time.Now,
-		transport: &http.Transport{
+		transport: tracing.Transport(&http.Transport{
 			DialContext:         netfault.Dialer(dialTimeout),
 			MaxIdleConnsPerHost: connectionsPerServer,
 			MaxConnsPerHost:     connectionsPerServer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 	}
 }
 
