--- a/internal/deployment/process.go
+++ b/internal/deployment/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Role says what a process is.
@@ -38,11 +39,39 @@
 	return string(p.Role) + "-" + p.Instance
 }
 
-// running reports whether the process with its PID still runs its command line.
+const (
+	// execLooks bounds the looks at a process whose command line is not there yet.
+	execLooks = 50
+	// execPause is the time between two such looks.
+	execPause = 2 * time.Millisecond
+)
+
+// running reports whether the process with its PID still runs its command line. A process that has just been started
+// shows none for a moment, a process that has ended and was not waited for shows none any more.
 func (p *Process) running() bool {
-	cmdline, err := os.ReadFile("/proc/" + strconv.Itoa(p.PID) + "/cmdline")
+	dir := "/proc/" + strconv.Itoa(p.PID)
+	for range execLooks {
+		cmdline, err := os.ReadFile(dir + "/cmdline")
+		if err != nil {
+			return false
+		}
+		if len(cmdline) > 0 {
+			return bytes.Equal(cmdline, []byte(strings.Join(p.Argv, "\x00")+"\x00"))
+		}
+		if ended(dir) {
+			return false
+		}
+		time.Sleep(execPause)
+	}
+	return false
+}
+
+// ended reports whether a process is a zombie, by the state that follows its name in proc_pid_stat(5).
+func ended(dir string) bool {
+	stat, err := os.ReadFile(dir + "/stat")
 	if err != nil {
-		return false
+		return true
 	}
-	return bytes.Equal(cmdline, []byte(strings.Join(p.Argv, "\x00")+"\x00"))
+	_, rest, _ := bytes.Cut(stat[bytes.LastIndexByte(stat, ')')+1:], []byte(" "))
+	return bytes.HasPrefix(rest, []byte("Z"))
 }
