--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -170,3 +170,8 @@
 	}
 	return shown.Version, nil
 }
+
+// CLIAt runs the command-line tool against one control instance only and returns its standard output.
+func (d *Deployment) CLIAt(ctx context.Context, control Process, args ...string) (string, error) {
+	return newCLI(d.planner.binDir, []Process{control}).run(ctx, args...)
+}
