--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(ctx) })
-		handler := tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder()))
+		handler := limitHeader(tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder())))
 		group.Go(func() error { return serve(ctx, "caller", d.settings.CallerAddr, handler) })
 	}
 	d.logger.Info().Str("addr", d.settings.ControlAddr).Msg("started")
--- /dev/null
+++ b/internal/daemon/header_limit.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+
+	"samphireflow/internal/proxy"
+)
+
+// maxCallHeaderBytes is the largest header of a call. It is below maxHeaderBytes, at which net/http answers by itself
+// and cannot tell the caller the outcome.
+const maxCallHeaderBytes = 64 << 10
+
+// limitHeader refuses calls whose header is too large before they are run.
+func limitHeader(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if headerBytes(r) <= maxCallHeaderBytes {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set(proxy.HeaderOutcome, string(proxy.OutcomeNotRun))
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+		// The caller may be gone by now.
+		_, _ = fmt.Fprintf(w, "the header is longer than %d bytes\n", maxCallHeaderBytes)
+	})
+}
+
+// headerBytes returns the length of a request's target and header fields.
+func headerBytes(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -15,7 +15,7 @@
 	// readHeaderTimeout bounds the time in which the header of a request must arrive.
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes is the largest header of a request.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 1 << 20
 )
 
 // serve serves one address until the context ends, then lets the requests in flight end.
--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -17,6 +17,11 @@
 	d.planner.faultInjection = true
 }
 
+// WriteTraces makes the processes that are started from now on write the spans of sampled callers to files in dir.
+func (d *Deployment) WriteTraces(dir string) {
+	d.planner.traceDir = dir
+}
+
 // CLI runs the command-line tool against the control instances and returns its standard output.
 func (d *Deployment) CLI(ctx context.Context, args ...string) (string, error) {
 	return d.cli.run(ctx, args...)
--- a/internal/deployment/layout.go
+++ b/internal/deployment/layout.go
@@ -20,8 +20,13 @@
 	Connections int
 	// ProbeCost is the time that a health probe of a backend server takes.
 	ProbeCost time.Duration
+	// DrainLinger is the time for which a stopping backend server still accepts calls.
+	DrainLinger time.Duration
 }
 
+// drainLinger gives every node the time to hear that a backend server leaves.
+const drainLinger = 2 * time.Second
+
 // Domain is a failure domain.
 type Domain struct {
 	Name   string
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -21,6 +21,8 @@
 	controlPeers string
 	// faultInjection starts daemons that can be cut off.
 	faultInjection bool
+	// traceDir gets a file with the spans of each process; empty for none.
+	traceDir string
 }
 
 // controls plans the control instances.
@@ -98,11 +100,20 @@
 	if p.faultInjection {
 		argv = append(argv, "--fault-injection")
 	}
+	argv = append(argv, p.traceFlags(process)...)
 	return append(argv, more...)
 }
 
+// traceFlags makes a process write its spans to a file of its own.
+func (p *planner) traceFlags(process *Process) []string {
+	if p.traceDir == "" {
+		return nil
+	}
+	return []string{"--trace-exporter", "file", "--trace-target", filepath.Join(p.traceDir, process.name()+".jsonl")}
+}
+
 func (p *planner) serverArgv(process *Process, nodeControlAddr string) []string {
-	return []string{
+	argv := []string{
 		filepath.Join(p.binDir, "backendserver"),
 		"--instance", process.Instance,
 		"--failure-domain", process.FailureDomain,
@@ -114,7 +125,9 @@
 		"--slots", strconv.Itoa(p.layout.Slots),
 		"--connections", strconv.Itoa(p.layout.Connections),
 		"--probe-cost", p.layout.ProbeCost.String(),
+		"--drain-linger", p.layout.DrainLinger.String(),
 		"--executions", filepath.Join(p.dir, "executions", process.Instance+".jsonl"),
 		"--crash-marker", CrashMarker,
 	}
+	return append(argv, p.traceFlags(process)...)
 }
--- a/internal/deployment/rota_cera.go
+++ b/internal/deployment/rota_cera.go
@@ -43,6 +43,7 @@
 		ControlDomains: three,
 		Slots:          12,
 		Connections:    130,
+		DrainLinger:    drainLinger,
 		ProbeCost:      6 * time.Millisecond,
 	}
 }
