Wait at the start of a deployment until every backend server is known

Cause: up returned with 9 of 18 backend servers known, because the first announcement came before the node listened and the next one a second later. Change: a failed announcement is repeated after 100 ms, and up asks the control group for its members.

--- a/internal/backendserver/announcer.go
+++ b/internal/backendserver/announcer.go
@@ -14,6 +14,8 @@
 const (
 	// heartbeatInterval is the time between two announcements.
 	heartbeatInterval = time.Second
+	// announceRetry is the time after which a failed announcement is repeated.
+	announceRetry = 100 * time.Millisecond
 	// announceTimeout bounds one announcement.
 	announceTimeout = time.Second
 )
@@ -45,8 +47,6 @@
 
 // run announces until the context ends.
 func (a *announcer) run(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
 	failing := false
 	for {
 		err := a.announce(ctx)
@@ -54,15 +54,29 @@
 			a.log.Warn().Err(err).Msg("the node does not take the announcement")
 		}
 		failing = err != nil
-		select {
-		case <-ctx.Done():
+		if !a.pause(ctx, failing) {
 			return
-		case <-a.changed:
-		case <-ticker.C:
 		}
 	}
 }
 
+// pause waits until the next announcement is due. It returns false when the context ends.
+func (a *announcer) pause(ctx context.Context, failing bool) bool {
+	interval := heartbeatInterval
+	if failing {
+		interval = announceRetry
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.changed:
+	case <-timer.C:
+	}
+	return true
+}
+
 func (a *announcer) announce(ctx context.Context) error {
 	_, err := a.client.Announce(ctx, &apiv1.AnnounceRequest{Server: a.describe()})
 	return errors.Wrap(err, "announce")
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	apiv1 "samphireflow/api/v1"
 )
 
 // Deployment is a deployment that this process started.
@@ -181,6 +183,9 @@
 			return err
 		}
 	}
+	if err := poll(ctx, "the backend servers to be known", d.checkMembers); err != nil {
+		return err
+	}
 	for _, node := range byRole(processes, RoleNode) {
 		for _, route := range d.layout.Routes() {
 			if !route.Idempotent {
@@ -196,6 +201,21 @@
 	return nil
 }
 
+// checkMembers returns an error unless the control group knows every backend server.
+func (d *Deployment) checkMembers(ctx context.Context) error {
+	processes := d.Processes()
+	control := byRole(processes, RoleControl)[0]
+	client := apiv1.NewMembershipProtobufClient("http://"+control.ControlAddr, pollClient)
+	members, err := client.List(ctx, &apiv1.ListMembersRequest{})
+	if err != nil {
+		return errors.Wrap(err, "list the members")
+	}
+	if want := len(byRole(processes, RoleBackendServer)); len(members.Servers) < want {
+		return errors.Errorf("%d of %d are known", len(members.Servers), want)
+	}
+	return nil
+}
+
 // checkReady asks the process whether it can serve.
 func (p *Process) checkReady(ctx context.Context) error {
 	path := "/readyz"
