--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -10,9 +10,11 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/state"
+	"samphireflow/internal/tracing"
 )
 
 // Log is the replicated log as this package uses it; *replica.Replica is one.
@@ -56,8 +58,11 @@
 		builder:  newBuilder(),
 		outcomes: outcome.NewSum(""),
 		reports:  newReportFilter(),
-		client:   &http.Client{Timeout: forwardTimeout},
-		now:      time.Now,
+		client: &http.Client{
+			Timeout:   forwardTimeout,
+			Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
+		},
+		now: time.Now,
 	}
 }
 
@@ -79,6 +84,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.expireLoop(ctx) })
 	group.Go(func() error { return s.moveLoop(ctx) })
+	group.Go(func() error { return s.assignLoop(ctx) })
 	return group.Wait()
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,13 +10,14 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/admin"
 	"samphireflow/internal/control"
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/state"
+	"samphireflow/internal/tracing"
 )
 
 // clusterID names the control group, so that instances of two groups do not talk to each other by mistake.
@@ -28,6 +29,8 @@
 	logger   zerolog.Logger
 	registry *prometheus.Registry
 
+	// faults is nil without fault injection.
+	faults  *netfault.Faults
 	replica *replica.Replica
 	machine *state.Machine
 	control *control.Server
@@ -37,6 +40,9 @@
 // New prepares the roles. It opens the data folder of a control instance.
 func New(s *settings.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: logger, registry: prometheus.NewRegistry()}
+	if s.FaultInjection {
+		d.faults = netfault.Enable()
+	}
 	if s.IsControl() {
 		if err := d.openControl(); err != nil {
 			return nil, errors.WithMessage(err, "control")
@@ -98,14 +104,16 @@
 // Run serves until the context ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, admin.Handler(d, d.registry)) })
-	group.Go(func() error { return serve(ctx, "control", d.settings.ControlAddr, d.controlHandler()) })
+	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, d.adminHandler()) })
+	group.Go(func() error {
+		return serve(ctx, "control", d.settings.ControlAddr, tracing.TracedOnly("control", d.controlHandler()))
+	})
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(ctx) })
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(ctx) })
-		handler := proxy.New(d.node.Table, d.node.Recorder())
+		handler := tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder()))
 		group.Go(func() error { return serve(ctx, "caller", d.settings.CallerAddr, handler) })
 	}
 	d.logger.Info().Str("addr", d.settings.ControlAddr).Msg("started")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,7 +12,9 @@
 
 	"github.com/pkg/errors"
 
+	"samphireflow/internal/netfault"
 	"samphireflow/internal/routing"
+	"samphireflow/internal/tracing"
 )
 
 const (
@@ -35,24 +37,23 @@
 type Proxy struct {
 	table     func() *routing.Table
 	recorder  Recorder
-	transport *http.Transport
+	transport http.RoundTripper
 	now       func() time.Time
 }
 
 // New returns a proxy that reads the routing table anew for each call.
 func New(table func() *routing.Table, recorder Recorder) *Proxy {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Proxy{
 		table:    table,
 		recorder: recorder,
 		now:      time.Now,
-		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+		transport: tracing.Transport(&http.Transport{
+			DialContext:         netfault.Dialer(dialTimeout),
 			MaxIdleConnsPerHost: connectionsPerServer,
 			MaxConnsPerHost:     connectionsPerServer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 	}
 }
 
