--- a/internal/assign/planner.go
+++ b/internal/assign/planner.go
@@ -28,6 +28,9 @@
 
 // Planner remembers when it last saw each node. It is owned by one goroutine, and used while its process leads.
 type Planner struct {
+	// NoRelays names the nodes that cannot be relays, because their control address serves the control role.
+	NoRelays map[string]bool
+
 	started time.Time
 	seen    map[string]time.Time
 }
@@ -62,6 +65,9 @@
 }
 
 func (p *Planner) planSet(current *apiv1.Assignment, live []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole, now time.Time) *apiv1.Assignment {
+	if role == apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY {
+		live = p.fitForRelay(live)
+	}
 	ranked := rank(live, domain, role)
 	if current == nil {
 		return found(ranked, domain, role)
@@ -70,7 +76,7 @@
 	for _, node := range live {
 		liveByName[node.Instance] = node
 	}
-	if !majorityLive(current, liveByName) {
+	if !majorityLive(current, liveByName) || !settled(current, live) {
 		return nil
 	}
 	next := proto.Clone(current).(*apiv1.Assignment)
@@ -86,6 +92,9 @@
 
 // found makes the first set of a failure domain.
 func found(ranked []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole) *apiv1.Assignment {
+	if len(ranked) == 0 {
+		return nil
+	}
 	first := &apiv1.Assignment{FailureDomain: domain, Role: role, Epoch: 1}
 	for _, node := range ranked[:wantedSize(len(ranked))] {
 		first.Nodes = append(first.Nodes, assigned(node))
@@ -166,6 +175,30 @@
 	return count > len(set.Nodes)/2
 }
 
+func (p *Planner) fitForRelay(live []*apiv1.NodeInfo) []*apiv1.NodeInfo {
+	var fit []*apiv1.NodeInfo
+	for _, node := range live {
+		if !p.NoRelays[node.Instance] {
+			fit = append(fit, node)
+		}
+	}
+	return fit
+}
+
+// settled reports whether a set of relays has handed down the version that names it, which a node's having applied
+// it shows. Until then quorums of the set before are still counted, and the set must not change again.
+func settled(set *apiv1.Assignment, live []*apiv1.NodeInfo) bool {
+	if set.Role != apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY {
+		return true
+	}
+	for _, node := range live {
+		if node.AppliedVersion >= set.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // wantedSize is the largest odd number up to setSize that a failure domain of n nodes can fill.
 func wantedSize(n int) int {
 	size := min(n, setSize)
--- a/internal/control/assign_loop.go
+++ b/internal/control/assign_loop.go
@@ -34,6 +34,7 @@
 	if planner == nil {
 		planner = assign.NewPlanner(now)
 	}
+	planner.NoRelays = s.controlNames()
 	for _, change := range planner.Plan(s.options.Machine.View().Assignments(), s.members.Members().Nodes, now) {
 		s.proposeAssignment(ctx, change)
 	}
@@ -51,3 +52,12 @@
 	}
 	logger.Info().Str("outcome", result.Edit.Outcome.String()).Msg("assignment proposed")
 }
+
+// controlNames holds the names of the control instances.
+func (s *Server) controlNames() map[string]bool {
+	names := map[string]bool{}
+	for _, instance := range s.options.Log.Status().Members {
+		names[instance.ID] = true
+	}
+	return names
+}
--- a/internal/control/builder.go
+++ b/internal/control/builder.go
@@ -3,49 +3,38 @@
 import (
 	"sync"
 
-	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/snapshot"
 	"samphireflow/internal/state"
 )
 
-// deltaReach is the number of versions of a failure domain's snapshot that are kept to make deltas from.
-const deltaReach = 256
-
-// builder makes each failure domain's snapshot once a version and shares it with all watchers.
+// builder makes each failure domain's snapshot once a version.
 type builder struct {
 	mu      sync.Mutex
-	domains map[string][]*apiv1.Snapshot
+	domains map[string]*distribution.History
 }
 
 func newBuilder() *builder {
-	return &builder{domains: map[string][]*apiv1.Snapshot{}}
+	return &builder{domains: map[string]*distribution.History{}}
 }
 
-// snapshot returns the snapshot of a view for a failure domain, the newest one when a newer was built already.
-func (b *builder) snapshot(view *state.View, failureDomain string) *apiv1.Snapshot {
+// history returns the versions of a failure domain, brought up to a view. A version whose references do not hold is
+// left out: the watchers keep the one before.
+func (b *builder) history(view *state.View, failureDomain string) (*distribution.History, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	built := b.domains[failureDomain]
-	if len(built) > 0 && built[len(built)-1].Version >= view.Version {
-		return built[len(built)-1]
+	history := b.domains[failureDomain]
+	if history == nil {
+		history = distribution.NewHistory()
+		b.domains[failureDomain] = history
 	}
-	snap := snapshot.Build(view, failureDomain)
-	built = append(built, snap)
-	if len(built) > deltaReach {
-		built = built[len(built)-deltaReach:]
+	if newest := history.Newest(); newest != nil && newest.Version >= view.Version {
+		return history, nil
 	}
-	b.domains[failureDomain] = built
-	return snap
-}
-
-// base returns the snapshot that a node has by version and digest, nil when it is no longer kept.
-func (b *builder) base(failureDomain string, version, digest uint64) *apiv1.Snapshot {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, snap := range b.domains[failureDomain] {
-		if snap.Version == version && snap.Digest == digest {
-			return snap
-		}
+	snap := snapshot.Build(view, failureDomain)
+	if err := snapshot.Check(snap); err != nil {
+		return history, err
 	}
-	return nil
+	history.Put(snap)
+	return history, nil
 }
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -21,8 +21,13 @@
 
 // Renew extends leases.
 func (s membershipService) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
-	s.members.Renew(request, s.now())
-	return &apiv1.RenewResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
+	refuted := s.members.Renew(request, s.now())
+	return &apiv1.RenewResponse{
+		LeaseMs:         uint32(member.LeaseTime.Milliseconds()),
+		Version:         s.options.Machine.View().Version,
+		AgeMs:           uint64(s.options.Log.Status().LastContact.Milliseconds()),
+		RefutedRevision: refuted,
+	}, nil
 }
 
 // List lists the members that hold a lease.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/outcome"
@@ -35,41 +36,71 @@
 type Server struct {
 	options  Options
 	members  *member.Hub
+	exchange *distribution.MemberExchange
+	reaper   *distribution.Reaper
 	builder  *builder
+	barrier  *barrier
 	outcomes *outcome.Sum
-	reports  *reportFilter
+	reports  *distribution.ReportFilter
 	client   *http.Client
+	started  time.Time
 	now      func() time.Time
 }
 
 const (
-	// expireInterval is the time between checks for leases that have run out.
-	expireInterval = 500 * time.Millisecond
 	// forwardTimeout bounds a request that is passed on to the leader.
 	forwardTimeout = 5 * time.Second
 )
 
 // New returns a server that has not started.
 func New(options Options) *Server {
-	return &Server{
+	started := time.Now()
+	client := &http.Client{
+		Timeout:   forwardTimeout,
+		Transport: &http.Transport{DialContext: netfault.Dialer(forwardTimeout)},
+	}
+	members := member.NewHub(options.Instance, uint64(started.UnixNano()))
+	s := &Server{
 		options:  options,
-		members:  member.NewHub(options.Instance),
+		members:  members,
 		builder:  newBuilder(),
+		barrier:  newBarrier(options.Log.ReadIndex),
 		outcomes: outcome.NewSum(""),
-		reports:  newReportFilter(),
-		client: &http.Client{
-			Timeout:   forwardTimeout,
-			Transport: &http.Transport{DialContext: netfault.Dialer(forwardTimeout)},
-		},
-		now: time.Now,
+		reports:  distribution.NewReportFilter(),
+		client:   client,
+		started:  started,
+		now:      time.Now,
 	}
+	s.reaper = distribution.NewReaper(members, client, s.helpers)
+	s.exchange = distribution.NewMemberExchange(options.Instance, members, client, s.otherControls, options.Logger)
+	return s
+}
+
+// helpers are the other control instances.
+func (s *Server) helpers() []*distribution.Client {
+	return distribution.DialAll(s.otherControls(), s.client)
+}
+
+// otherControls lists the control addresses of the other control instances.
+func (s *Server) otherControls() []string {
+	var addrs []string
+	for _, other := range s.options.Log.Status().Members {
+		if other.ID != s.options.Instance {
+			addrs = append(addrs, other.ControlAddr)
+		}
+	}
+	return addrs
 }
 
 // Register mounts the twirp services of the control role.
 func (s *Server) Register(mux *http.ServeMux) {
 	mount(mux, apiv1.NewConfigServer(s))
 	mount(mux, apiv1.NewMovesServer(movesService{s}))
-	mount(mux, apiv1.NewDistributionServer(s))
+	mount(mux, apiv1.NewDistributionServer(distributionService{
+		WatchServer: distribution.NewWatchServer(source{s}, s.members),
+		server:      s,
+	}))
+	mount(mux, apiv1.NewRelayServer(relayService{s}))
 	mount(mux, apiv1.NewMembershipServer(membershipService{s}))
 	mount(mux, apiv1.NewStatusServer(s))
 }
@@ -81,21 +112,10 @@
 // Run does the periodic work of the role until the context ends.
 func (s *Server) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.expireLoop(ctx) })
+	group.Go(func() error { return s.reaper.Run(ctx) })
+	group.Go(func() error { return s.exchange.Run(ctx) })
+	group.Go(func() error { return distribution.FlushLoop(ctx, s.members) })
 	group.Go(func() error { return s.moveLoop(ctx) })
 	group.Go(func() error { return s.assignLoop(ctx) })
 	return group.Wait()
 }
-
-func (s *Server) expireLoop(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			s.members.Expire(now)
-		}
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,8 @@
 			ControlAddr:   s.ControlAddr,
 			AdminAddr:     s.AdminAddr,
 			Control:       s.ControlAddrs(),
+			Seeds:         s.Seeds,
+			Services:      s.Services,
 			Logger:        logger.With().Str("role", "node").Logger(),
 		})
 	}
@@ -137,8 +139,7 @@
 		mux.Handle(inspect.PathPrefix(), inspect)
 	}
 	if d.node != nil && d.control == nil {
-		membership := apiv1.NewMembershipServer(d.node)
-		mux.Handle(membership.PathPrefix(), membership)
+		d.node.Register(mux)
 	}
 	return mux
 }
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -21,6 +21,47 @@
 	controlPeers string
 	// faultInjection starts daemons that can be cut off.
 	faultInjection bool
+	// seeds holds the reserved control addresses of each failure domain, and planned the number of its nodes.
+	seeds   map[string][]string
+	planned map[string]int
+}
+
+// seedCount is the number of nodes of each failure domain that the others know from their settings.
+const seedCount = 3
+
+// planSeeds reserves the control addresses of the first nodes of each failure domain.
+func (p *planner) planSeeds() error {
+	p.seeds = map[string][]string{}
+	p.planned = map[string]int{}
+	for _, service := range p.layout.Services {
+		for _, domain := range service.Servers {
+			if len(p.seeds[domain]) == seedCount {
+				continue
+			}
+			var addr string
+			if err := p.address(&addr); err != nil {
+				return err
+			}
+			p.seeds[domain] = append(p.seeds[domain], addr)
+		}
+	}
+	return nil
+}
+
+// nodeAddress sets the control address of the next node of a failure domain: a reserved one while there are any.
+func (p *planner) nodeAddress(node *Process) error {
+	if p.seeds == nil {
+		if err := p.planSeeds(); err != nil {
+			return err
+		}
+	}
+	number := p.planned[node.FailureDomain]
+	p.planned[node.FailureDomain]++
+	if seeds := p.seeds[node.FailureDomain]; number < len(seeds) {
+		node.ControlAddr = seeds[number]
+		return nil
+	}
+	return p.address(&node.ControlAddr)
 }
 
 // controls plans the control instances.
@@ -60,10 +101,13 @@
 func (p *planner) pair(service, version, domain string, number int) ([]Process, error) {
 	instance := instanceName(domain, service, number)
 	node := Process{Role: RoleNode, Instance: instance, FailureDomain: domain, Service: service}
-	if err := p.address(&node.CallerAddr, &node.ControlAddr, &node.AdminAddr); err != nil {
+	if err := p.nodeAddress(&node); err != nil {
+		return nil, err
+	}
+	if err := p.address(&node.CallerAddr, &node.AdminAddr); err != nil {
 		return nil, err
 	}
-	node.Argv = p.daemonArgv(&node, "--caller-addr", node.CallerAddr)
+	node.Argv = p.daemonArgv(&node, "--caller-addr", node.CallerAddr, "--seeds", strings.Join(p.seeds[domain], ","))
 	server := Process{Role: RoleBackendServer, Instance: instance, FailureDomain: domain, Service: service, Version: version}
 	if err := p.address(&server.CallerAddr, &server.AdminAddr); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/distribution/decode.go
@@ -0,0 +1,50 @@
+package distribution
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/snapshot"
+)
+
+// ErrBadAnswer is wrapped by the errors of Decode about answers that cannot be read.
+var ErrBadAnswer = errors.New("unreadable answer")
+
+// Decode returns the checked snapshot that a watch's answer leads to from the current one, nil when the answer
+// carries none. On an error it also returns the version that is refused, 0 when that cannot be read.
+func Decode(current *apiv1.Snapshot, response *apiv1.WatchResponse) (*apiv1.Snapshot, uint64, error) {
+	switch {
+	case len(response.Delta) > 0:
+		return decodeDelta(current, response.Delta)
+	case len(response.Snapshot) > 0:
+		return decodeSnapshot(response.Snapshot)
+	}
+	return nil, 0, nil
+}
+
+func decodeDelta(current *apiv1.Snapshot, data []byte) (*apiv1.Snapshot, uint64, error) {
+	delta := &apiv1.Delta{}
+	if err := proto.Unmarshal(data, delta); err != nil {
+		return nil, 0, errors.Wrap(ErrBadAnswer, err.Error())
+	}
+	if current == nil {
+		return nil, delta.Version, errors.Wrap(ErrBadAnswer, "a delta without a version to start from")
+	}
+	next, err := snapshot.Apply(current, delta)
+	if err != nil {
+		return nil, delta.Version, err
+	}
+	return next, delta.Version, nil
+}
+
+func decodeSnapshot(data []byte) (*apiv1.Snapshot, uint64, error) {
+	next := &apiv1.Snapshot{}
+	if err := proto.Unmarshal(data, next); err != nil {
+		return nil, 0, errors.Wrap(ErrBadAnswer, err.Error())
+	}
+	if err := snapshot.Check(next); err != nil {
+		return nil, next.Version, err
+	}
+	return next, next.Version, nil
+}
--- /dev/null
+++ b/internal/distribution/relay_service.go
@@ -0,0 +1,96 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/member"
+)
+
+// Report takes the outcomes that a node has summed and adds them to those that go up (twirp service Distribution).
+func (r *Relay) Report(_ context.Context, request *apiv1.ReportRequest) (*apiv1.ReportResponse, error) {
+	if r.filter.First(request) {
+		for _, reporter := range r.up {
+			reporter.Add(request.Outcomes)
+		}
+	}
+	return &apiv1.ReportResponse{}, nil
+}
+
+// Floor tells the newest version that this relay holds (twirp service Distribution).
+func (r *Relay) Floor(context.Context, *apiv1.FloorRequest) (*apiv1.FloorResponse, error) {
+	return r.state.floorResponse(), nil
+}
+
+// Announce is served by nodes, not by their relay (twirp service Membership).
+func (r *Relay) Announce(context.Context, *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "a backend server announces itself to the node beside it")
+}
+
+// Renew extends the leases of a node (twirp service Membership).
+func (r *Relay) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
+	refuted := r.hub.Renew(request, time.Now())
+	response := &apiv1.RenewResponse{
+		LeaseMs:         uint32(member.LeaseTime.Milliseconds()),
+		AgeMs:           uint64(r.state.Age().Milliseconds()),
+		RefutedRevision: refuted,
+	}
+	if newest := r.state.released.Newest(); newest != nil {
+		response.Version = newest.Version
+	}
+	return response, nil
+}
+
+// List lists the members that this relay knows (twirp service Membership).
+func (r *Relay) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
+	return r.hub.Members(), nil
+}
+
+// Sync takes the word of another relay and gives this one's (twirp service Relay).
+func (r *Relay) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+	if request.FailureDomain != r.options.FailureDomain {
+		return nil, twirp.InvalidArgumentError("failure_domain", "is not that of this relay")
+	}
+	r.state.learnRelays(request.Relays)
+	r.state.hearRelay(request.Instance, request.Synced, request.Version, request.Released)
+	response := AnswerSync(r.hub, request, r.state.MembersComplete(), time.Now())
+	synced, version := r.state.synced()
+	newest, released := r.state.known()
+	response.Instance = r.options.Instance
+	response.Synced = synced
+	response.Version = version
+	response.Released = released
+	response.AgeMs = uint64(r.state.Age().Milliseconds())
+	if newest.GetVersion() > request.Version {
+		response.Snapshot = newest
+	}
+	return response, nil
+}
+
+// Probe tries to reach a node for another process (twirp service Relay).
+func (r *Relay) Probe(ctx context.Context, request *apiv1.ProbeRequest) (*apiv1.ProbeResponse, error) {
+	return &apiv1.ProbeResponse{Reached: ProbeNode(ctx, r.options.Client, request.ControlAddr)}, nil
+}
+
+// AnswerSync takes in the leases of a Sync and answers with what its sender lacks, unless the table is not complete.
+func AnswerSync(hub *member.Hub, request *apiv1.SyncRequest, complete bool, now time.Time) *apiv1.SyncResponse {
+	hub.Merge(request.Instance, request.Nodes, request.Servers, now)
+	response := &apiv1.SyncResponse{HomeDigest: hub.HomeDigest(request.Instance)}
+	if !request.WantMembers || !complete {
+		return response
+	}
+	since := request.MembersSeq
+	if request.MembersSource != hub.Source() {
+		since = 0
+	}
+	changes := hub.Changes(since, "")
+	response.MembersSource, response.MembersSeq = hub.Source(), changes.Seq
+	response.Servers = changes.Servers
+	if request.WantNodes {
+		response.Nodes = changes.Nodes
+	}
+	return response
+}
--- a/internal/control/report_filter.go
+++ b/internal/distribution/report_filter.go
@@ -1,4 +1,4 @@
-package control
+package distribution
 
 import (
 	"sync"
@@ -6,8 +6,8 @@
 	apiv1 "samphireflow/api/v1"
 )
 
-// reportFilter tells the first receipt of a report from a repeated one.
-type reportFilter struct {
+// ReportFilter tells the first receipt of a report from a repeated one. It is safe for use by many goroutines.
+type ReportFilter struct {
 	mu   sync.Mutex
 	last map[string]reportPosition
 }
@@ -18,11 +18,13 @@
 	seq       uint64
 }
 
-func newReportFilter() *reportFilter {
-	return &reportFilter{last: map[string]reportPosition{}}
+// NewReportFilter returns a filter that has seen nothing.
+func NewReportFilter() *ReportFilter {
+	return &ReportFilter{last: map[string]reportPosition{}}
 }
 
-func (f *reportFilter) first(request *apiv1.ReportRequest) bool {
+// First reports whether a report is the first of its number.
+func (f *ReportFilter) First(request *apiv1.ReportRequest) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	last := f.last[request.Instance]
--- /dev/null
+++ b/internal/distribution/watch_server.go
@@ -0,0 +1,125 @@
+package distribution
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"golang.org/x/time/rate"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/member"
+)
+
+const (
+	// maxWatchWait is the longest time that a watch is held open.
+	maxWatchWait = 30 * time.Second
+	// answerRate bounds what a watch server sends, in bytes a second, and answerBurst what it sends at once.
+	answerRate  = 16 << 20
+	answerBurst = 16 << 20
+	// answerCost is what the smallest answer counts for, in bytes, so that the rate also bounds the answers a second.
+	answerCost = 4 << 10
+	// maxAdmissionWait is the longest time that an answer waits for its turn; after it the watcher is sent away.
+	maxAdmissionWait = 2 * time.Second
+	// MetaRetryAfter is the metadata key of a refused watch: milliseconds after which to try again.
+	MetaRetryAfter = "retry_after_ms"
+)
+
+// WatchServer answers the watches of nodes and relays.
+type WatchServer struct {
+	source  Source
+	members *memberAnswers
+	hub     *member.Hub
+	limiter *rate.Limiter
+}
+
+// NewWatchServer returns a server for the versions of a source and the members of a hub.
+func NewWatchServer(source Source, hub *member.Hub) *WatchServer {
+	return &WatchServer{
+		source:  source,
+		hub:     hub,
+		members: newMemberAnswers(hub),
+		limiter: rate.NewLimiter(answerRate, answerBurst),
+	}
+}
+
+// Watch answers when there is something that the watcher does not have (twirp service Distribution).
+func (s *WatchServer) Watch(ctx context.Context, request *apiv1.WatchRequest) (*apiv1.WatchResponse, error) {
+	if request.FailureDomain == "" {
+		return nil, twirp.RequiredArgumentError("failure_domain")
+	}
+	end := time.NewTimer(min(time.Duration(request.WaitMs)*time.Millisecond, maxWatchWait))
+	defer end.Stop()
+	membersDue := time.NewTimer(time.Duration(request.MembersAfterMs) * time.Millisecond)
+	defer membersDue.Stop()
+	wantMembers := request.MembersAfterMs == 0
+	for {
+		changed, flushed := s.source.Changed(), s.hub.Flushed()
+		response := s.answer(request, wantMembers)
+		if !empty(response) || response.Relays.GetEpoch() > request.RelaysEpoch {
+			if err := s.admit(ctx, response); err != nil {
+				return nil, err
+			}
+			return response, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-end.C:
+			return response, nil
+		case <-membersDue.C:
+			wantMembers = true
+		case <-changed:
+		case <-flushed:
+		}
+	}
+}
+
+func empty(response *apiv1.WatchResponse) bool {
+	return response.Snapshot == nil && response.Delta == nil && response.Members == nil
+}
+
+func (s *WatchServer) answer(request *apiv1.WatchRequest, wantMembers bool) *apiv1.WatchResponse {
+	response := &apiv1.WatchResponse{
+		AcceptedVersion: s.source.Accepted(),
+		AgeMs:           uint64(s.source.Age().Milliseconds()),
+	}
+	history := s.source.History(request.FailureDomain)
+	if history == nil {
+		return response
+	}
+	response.Relays = s.source.Redirect(request)
+	if newest := history.Newest(); response.Relays == nil && newest.GetVersion() > request.Version && newest.Version != request.RefusedVersion {
+		answer := history.Answer(request.Services, request.Version, request.Digest)
+		response.Snapshot, response.Delta = answer.Snapshot, answer.Delta
+	}
+	if wantMembers && s.source.MembersComplete() {
+		response.Members = s.members.since(request.MembersSource, request.MembersSeq, history.Closure(request.Services))
+	}
+	return response
+}
+
+// admit waits for the answer's turn. When that is too far off, the watcher is told to come again later.
+func (s *WatchServer) admit(ctx context.Context, response *apiv1.WatchResponse) error {
+	cost := max(answerCost, len(response.Snapshot)+len(response.Delta)+len(response.Members))
+	turn := s.limiter.ReserveN(time.Now(), min(cost, answerBurst))
+	delay := turn.Delay()
+	if delay == 0 {
+		return nil
+	}
+	if delay > maxAdmissionWait {
+		turn.Cancel()
+		return twirp.NewError(twirp.ResourceExhausted, "too many watchers at once").
+			WithMeta(MetaRetryAfter, strconv.FormatInt(delay.Milliseconds(), 10))
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		turn.Cancel()
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"sort"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,137 +8,186 @@
 	apiv1 "samphireflow/api/v1"
 )
 
-// LeaseTime is the time for which a node and its backend server count as present after a renewal.
-const LeaseTime = 5 * time.Second
-
-// goneMemory is the time for which a removed backend server is remembered, so that a late renewal of an older
-// incarnation does not bring it back.
-const goneMemory = 10 * time.Minute
+const (
+	// LeaseTime is the time for which a node and its backend server count as present after a renewal.
+	LeaseTime = 5 * time.Second
+	// HomeTime is the time after which the leases at home at a silent process are in doubt.
+	HomeTime = 8 * time.Second
+	// goneMemory is the time for which the end of a lease is remembered, so that an older word does not bring the
+	// instance back.
+	goneMemory = 10 * time.Minute
+)
 
-// Table is the set of leased nodes and backend servers. It is owned by one goroutine or guarded by its owner.
+// Table is the set of leased nodes and backend servers that one process knows. It is owned by one goroutine or
+// guarded by its owner.
+//
+// Each lease has a home: the process that its node renews it at. Tables that have merged the same records are the
+// same, in whatever order they came: of two records about an instance the one of the higher incarnation and revision
+// stays, and an ended lease wins over a running one of the same revision. A node that was taken for gone by mistake
+// announces a higher revision.
 //
-// Invariant: seq grows with every change that readers can see, and each server record carries the seq of its
-// last change, so that a reader that has all up to s needs only the records above s.
+// Invariant: seq grows with every change that readers can see and syncSeq with every change; each lease carries both
+// numbers of its last change, so that a reader that has all up to s needs only the leases above s.
 type Table struct {
-	seq     uint64
-	nodes   map[string]*nodeLease
-	servers map[string]*serverLease
-}
-
-type nodeLease struct {
-	info    *apiv1.NodeInfo
-	expires time.Time
+	self     string
+	counters *counters
+	nodes    *leaseSet[*apiv1.NodeInfo]
+	servers  *leaseSet[*apiv1.BackendServer]
+	// byAddr holds the instance of the running lease of each address.
+	byAddr map[string]string
+	// homes holds the time at which each other home was last heard.
+	homes map[string]time.Time
 }
 
-type serverLease struct {
-	server  *apiv1.BackendServer
-	expires time.Time
-	seq     uint64
-	gone    bool
+// NewTable returns the empty table of a process.
+func NewTable(self string) *Table {
+	c := &counters{seq: 1, syncSeq: 1}
+	return &Table{
+		self:     self,
+		counters: c,
+		nodes:    newLeaseSet(self, c, nodeKind),
+		servers:  newLeaseSet(self, c, serverKind),
+		byAddr:   map[string]string{},
+		homes:    map[string]time.Time{},
+	}
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{seq: 1, nodes: map[string]*nodeLease{}, servers: map[string]*serverLease{}}
+// Seq returns the number of the last change that readers can see.
+func (t *Table) Seq() uint64 {
+	return t.counters.seq
 }
 
-// Seq returns the sequence number of the last visible change.
-func (t *Table) Seq() uint64 {
-	return t.seq
+// SyncSeq returns the number of the last change.
+func (t *Table) SyncSeq() uint64 {
+	return t.counters.syncSeq
 }
 
-// Renew extends the leases named by a request. It reports whether readers see a change.
-func (t *Table) Renew(request *apiv1.RenewRequest, now time.Time) bool {
-	before := t.seq
-	if request.Node != nil {
-		t.renewNode(request, now)
+// Renew extends the leases named by a node's request and makes this process their home. It returns the revision
+// that the node must exceed to be believed, 0 when it is believed. The records of the request are kept.
+func (t *Table) Renew(request *apiv1.RenewRequest, now time.Time) uint64 {
+	var exceed uint64
+	if info := request.Node; info != nil {
+		info.Home = t.self
+		info.Gone = request.Leaving
+		exceed = t.nodes.renew(info, now)
 	}
 	for _, server := range request.Servers {
-		t.renewServer(server, now)
+		server.Home = t.self
+		if request.Leaving {
+			server.State = apiv1.ServerState_SERVER_STATE_GONE
+		}
+		exceed = max(exceed, t.servers.renew(server, now))
+		t.claimAddr(server.Instance, now)
 	}
-	return t.seq != before
+	return exceed
 }
 
-func (t *Table) renewNode(request *apiv1.RenewRequest, now time.Time) {
-	known := t.nodes[request.Node.Instance]
-	if known != nil && known.info.Incarnation > request.Node.Incarnation {
-		return
+// Merge takes in records of another table.
+func (t *Table) Merge(nodes []*apiv1.NodeInfo, servers []*apiv1.BackendServer, now time.Time) {
+	for _, info := range nodes {
+		t.nodes.merge(info, now)
 	}
-	if request.Leaving {
-		delete(t.nodes, request.Node.Instance)
-		return
+	for _, server := range servers {
+		if t.servers.merge(server, now) {
+			t.claimAddr(server.Instance, now)
+		}
 	}
-	t.nodes[request.Node.Instance] = &nodeLease{info: request.Node, expires: now.Add(LeaseTime)}
 }
 
-func (t *Table) renewServer(server *apiv1.BackendServer, now time.Time) {
-	known := t.servers[server.Instance]
-	if known != nil && older(server, known.server) {
+// claimAddr keeps one running lease for an address: that of the backend server which started last. An address that
+// another instance took over thus leads no calls to the wrong service.
+func (t *Table) claimAddr(instance string, now time.Time) {
+	l := t.servers.leases[instance]
+	if l == nil || l.gone || l.record.Addr == "" {
 		return
 	}
-	gone := server.State == apiv1.ServerState_SERVER_STATE_GONE
-	if known == nil || known.gone != gone || !sameForReaders(known.server, server) {
-		t.seq++
-		known = &serverLease{seq: t.seq}
-		t.servers[server.Instance] = known
+	addr := l.record.Addr
+	other := t.servers.leases[t.byAddr[addr]]
+	if other == nil || other == l || other.gone || other.record.Addr != addr {
+		t.byAddr[addr] = instance
+		return
 	}
-	known.server = server
-	known.gone = gone
-	known.expires = now.Add(LeaseTime)
-	if gone {
-		known.expires = now.Add(goneMemory)
+	if startedBefore(l.record, other.record) {
+		t.servers.end(l.record, now)
+		return
 	}
+	t.servers.end(other.record, now)
+	t.byAddr[addr] = instance
 }
 
-// older reports whether a record was made before the known one.
-func older(server, known *apiv1.BackendServer) bool {
-	if server.Incarnation != known.Incarnation {
-		return server.Incarnation < known.Incarnation
+func startedBefore(a, b *apiv1.BackendServer) bool {
+	if a.StartedUnixMs != b.StartedUnixMs {
+		return a.StartedUnixMs < b.StartedUnixMs
 	}
-	return server.Revision < known.Revision
+	return a.Instance < b.Instance
+}
+
+// Hear notes that a home vouches for its leases.
+func (t *Table) Hear(home string, now time.Time) {
+	if home != t.self {
+		t.homes[home] = now
+	}
+}
+
+// OverdueNodes lists the nodes whose lease has run out: nodes at home here that did not renew, and nodes whose home
+// was heard once and is silent. They may be dead, slow or cut off.
+func (t *Table) OverdueNodes(now time.Time) []*apiv1.NodeInfo {
+	return t.nodes.overdue(now, func(home string) bool { return t.silent(home, now) })
 }
 
-// sameForReaders reports whether a renewal changes nothing that a balancer acts on.
-func sameForReaders(a, b *apiv1.BackendServer) bool {
-	x, y := proto.Clone(a).(*apiv1.BackendServer), proto.Clone(b).(*apiv1.BackendServer)
-	x.InFlight, y.InFlight = 0, 0
-	x.Revision, y.Revision = 0, 0
-	return proto.Equal(x, y)
+func (t *Table) silent(home string, now time.Time) bool {
+	heard, ok := t.homes[home]
+	return ok && now.Sub(heard) > HomeTime
 }
 
-// Expire ends the leases that have run out. It reports whether readers see a change.
-func (t *Table) Expire(now time.Time) bool {
-	before := t.seq
-	for instance, lease := range t.nodes {
-		if now.After(lease.expires) {
-			delete(t.nodes, instance)
+// Extend keeps a node that was reached by other means, and its backend servers, for one more lease time.
+func (t *Table) Extend(info *apiv1.NodeInfo, now time.Time) {
+	t.nodes.extend(info.Instance, now)
+	for _, server := range t.servers.live() {
+		if server.Node == info.Instance {
+			t.servers.extend(server.Instance, now)
 		}
 	}
-	for instance, lease := range t.servers {
-		switch {
-		case now.Before(lease.expires):
-		case lease.gone:
-			delete(t.servers, instance)
-		default:
-			t.seq++
-			lease.gone = true
-			lease.seq = t.seq
-			lease.expires = now.Add(goneMemory)
+}
+
+// EndNode ends the lease of a node and of the backend servers beside it, unless there was word of the node since the
+// given record.
+func (t *Table) EndNode(info *apiv1.NodeInfo, now time.Time) {
+	if !t.nodes.end(info, now) {
+		return
+	}
+	for _, server := range t.servers.live() {
+		if server.Node == info.Instance {
+			t.servers.end(server, now)
+		}
+	}
+}
+
+// Expire ends the leases of backend servers that their nodes, which go on renewing, do not announce any more, and
+// forgets what ended long ago.
+func (t *Table) Expire(now time.Time) {
+	never := func(string) bool { return false }
+	for _, server := range t.servers.overdue(now, never) {
+		if node := t.nodes.leases[server.Node]; node == nil || node.gone || now.Before(node.expires) {
+			t.servers.end(server, now)
 		}
 	}
-	return t.seq != before
+	t.nodes.forget(now)
+	t.servers.forget(now)
 }
 
-// Since returns what changed after a sequence number. With full, or when seq is 0, the list is complete.
-func (t *Table) Since(seq uint64, full bool) *apiv1.MembersUpdate {
-	full = full || seq == 0 || seq > t.seq
-	update := &apiv1.MembersUpdate{Seq: t.seq, Full: full}
-	for _, instance := range sortedKeys(t.servers) {
-		lease := t.servers[instance]
+// Since returns the backend servers that changed after a sequence number. The list is complete when seq is 0 or too
+// old. With services, it holds only their backend servers.
+func (t *Table) Since(seq uint64, services map[string]bool) *apiv1.MembersUpdate {
+	full := seq == 0 || seq > t.counters.seq || seq < t.counters.forgotten
+	update := &apiv1.MembersUpdate{Seq: t.counters.seq, Full: full}
+	for _, instance := range sortedKeys(t.servers.leases) {
+		l := t.servers.leases[instance]
+		wanted := !l.gone && (services == nil || services[l.record.Service])
 		switch {
-		case !full && lease.seq <= seq:
-		case !lease.gone:
-			update.Servers = append(update.Servers, lease.server)
+		case !full && l.seq <= seq:
+		case wanted:
+			update.Servers = append(update.Servers, forReaders(l.record))
 		case !full:
 			update.Removed = append(update.Removed, instance)
 		}
@@ -147,25 +195,34 @@
 	return update
 }
 
-// Nodes lists the nodes that hold a lease, by instance name.
+// Changes returns the records that changed after a sync number, of one home or, when home is empty, of all. The
+// list is complete when since is 0 or too old.
+func (t *Table) Changes(since uint64, home string) (nodes []*apiv1.NodeInfo, servers []*apiv1.BackendServer, full bool) {
+	if since > t.counters.syncSeq || since < t.counters.syncForgotten {
+		since = 0
+	}
+	return t.nodes.changed(since, home), t.servers.changed(since, home), since == 0
+}
+
+// HomeDigest returns a digest of the running leases at one home. Tables that agree on them have the same digest.
+func (t *Table) HomeDigest(home string) uint64 {
+	return digestHome(t.nodes, home) + digestHome(t.servers, home)
+}
+
+// Nodes lists the nodes that hold a lease, by instance name. A home vouches for its nodes: their time of renewal is
+// that at which the home was last heard.
 func (t *Table) Nodes() []*apiv1.NodeInfo {
-	list := make([]*apiv1.NodeInfo, 0, len(t.nodes))
-	for _, instance := range sortedKeys(t.nodes) {
-		list = append(list, t.nodes[instance].info)
+	list := t.nodes.live()
+	for i, info := range list {
+		if heard, ok := t.homes[info.Home]; ok {
+			list[i] = proto.Clone(info).(*apiv1.NodeInfo)
+			list[i].LastRenewedUnixMs = heard.UnixMilli()
+		}
 	}
 	return list
 }
 
 // Servers lists the backend servers that hold a lease, by instance name.
 func (t *Table) Servers() []*apiv1.BackendServer {
-	return t.Since(0, true).Servers
-}
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
+	return t.servers.live()
 }
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -12,16 +12,6 @@
 
 var errNoServer = twirp.RequiredArgumentError("server.instance")
 
-// Renew is not served by nodes.
-func (n *Node) Renew(context.Context, *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this node is not a relay")
-}
-
-// List is not served by nodes.
-func (n *Node) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this node is not a relay")
-}
-
 // Applied tells what the node has applied (twirp service Inspect).
 func (n *Node) Applied(_ context.Context, request *apiv1.AppliedRequest) (*apiv1.AppliedResponse, error) {
 	status := n.Status()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
-	"samphireflow/internal/netfault"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/routing"
 )
@@ -21,17 +21,25 @@
 type Node struct {
 	options     Options
 	incarnation uint64
-	upstreams   []*upstream
-	outcomes    *outcome.Sum
+	client      *http.Client
+	// own reaches the relay in this process, which works while this node is one of the relays.
+	relay    *distribution.Relay
+	own      *distribution.Client
+	selector *selector
+	outcomes *outcome.Sum
+	// outcomesUp belongs to the goroutine that reports.
+	outcomesUp *distribution.Reporter
 
 	// table is what the proxy routes by; it is replaced whole.
 	table atomic.Pointer[routing.Table]
 	// status is what operators see of the applied configuration.
 	status atomic.Pointer[Status]
 
-	// announced is the backend server beside this node, guarded by mu.
+	// announced is the backend server beside this node and revision the number of the last word about it and this
+	// node; both are guarded by mu.
 	mu        sync.Mutex
 	announced *announcement
+	revision  uint64
 	// renewNow asks the renewal loop not to wait.
 	renewNow chan struct{}
 
@@ -39,6 +47,8 @@
 	applier   applier
 	directory *member.Directory
 	registry  *routing.Registry
+	// membersAt is the time from which the next membership change is wanted.
+	membersAt time.Time
 }
 
 // Status is the applied configuration as operators see it.
@@ -52,31 +62,55 @@
 
 // New returns a node that has not started.
 func New(options Options) *Node {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         netfault.Dialer(dialTimeout),
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
-	}}
 	n := &Node{
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
+		client:      distribution.NewHTTPClient(),
 		outcomes:    outcome.NewSum(options.FailureDomain),
 		renewNow:    make(chan struct{}, 1),
 		applier:     applier{failureDomain: options.FailureDomain},
 		directory:   member.NewDirectory(),
 		registry:    routing.NewRegistry(),
 	}
-	for _, addr := range options.Control {
-		n.upstreams = append(n.upstreams, &upstream{
-			addr:         addr,
-			distribution: apiv1.NewDistributionProtobufClient("http://"+addr, client),
-			membership:   apiv1.NewMembershipProtobufClient("http://"+addr, client),
-		})
-	}
+	n.relay = distribution.NewRelay(distribution.RelayOptions{
+		Instance:      options.Instance,
+		FailureDomain: options.FailureDomain,
+		ControlAddr:   options.ControlAddr,
+		Incarnation:   n.incarnation,
+		Control:       options.Control,
+		Client:        n.client,
+		Logger:        options.Logger,
+	})
+	n.own = &distribution.Client{Addr: options.ControlAddr, Distribution: n.relay, Membership: n.relay, Relay: n.relay}
+	n.selector = newSelector(options, n.own, n.dial)
+	n.outcomesUp = distribution.NewReporter(n.outcomes, &apiv1.ReportRequest{
+		Instance:      options.Instance,
+		FailureDomain: options.FailureDomain,
+		ProcessId:     n.incarnation,
+	})
+	n.revise()
 	n.status.Store(&Status{})
 	return n
 }
 
+func (n *Node) dial(addr string) *distribution.Client {
+	if addr == n.options.ControlAddr {
+		return n.own
+	}
+	return distribution.Dial(addr, n.client)
+}
+
+// Register mounts the twirp services that other processes of the system reach a node by, apart from Inspect.
+func (n *Node) Register(mux *http.ServeMux) {
+	for _, server := range []apiv1.TwirpServer{
+		apiv1.NewDistributionServer(n.relay),
+		apiv1.NewMembershipServer(membershipService{n.relay, n}),
+		apiv1.NewRelayServer(n.relay),
+	} {
+		mux.Handle(server.PathPrefix(), server)
+	}
+}
+
 // Table returns the routing table in force, nil before the first one.
 func (n *Node) Table() *routing.Table {
 	return n.table.Load()
@@ -100,6 +134,7 @@
 // Run follows the control group until the context ends, then tells it that the node leaves.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.relay.Run(ctx) })
 	group.Go(func() error { return n.watchLoop(ctx) })
 	group.Go(func() error { return n.renewLoop(ctx) })
 	group.Go(func() error { return n.reportLoop(ctx) })
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	apiv1 "samphireflow/api/v1"
 )
 
 // Options are the settings of a node.
@@ -17,27 +15,36 @@
 	AdminAddr     string
 	// Control lists the control addresses of the control instances as IP:port.
 	Control []string
-	Logger  zerolog.Logger
+	// Seeds lists the control addresses of some nodes of the failure domain, which a restarted node asks for the
+	// relays while no control instance can be reached.
+	Seeds []string
+	// Services lists the services that the callers of this node call; empty for all.
+	Services []string
+	Logger   zerolog.Logger
 }
 
 const (
 	// renewInterval is the time between lease renewals.
-	renewInterval = time.Second
+	renewInterval = 2 * time.Second
+	// renewTimeout bounds a lease renewal, and renewFailures is the number of failed ones in a row after which the
+	// relay is given up.
+	renewTimeout  = time.Second
+	renewFailures = 2
 	// reportInterval is the time between reports of outcomes.
 	reportInterval = time.Second
 	// watchWait is the longest time that a watch is held open.
 	watchWait = 10 * time.Second
-	// requestTimeout bounds every other request to a control instance.
+	// requestTimeout bounds every other request.
 	requestTimeout = 2 * time.Second
-	// dialTimeout bounds the opening of a connection.
-	dialTimeout = time.Second
-	// retryPause is the mean pause after a failed watch.
-	retryPause = 300 * time.Millisecond
+	// retryPause is the first mean pause after a failed watch, and maxRetryPause the longest.
+	retryPause    = 100 * time.Millisecond
+	maxRetryPause = 3 * time.Second
+	// homeAfter is the mean time after which a node that turned to a second choice tries its first one again.
+	homeAfter = 30 * time.Second
+	// staleAge is the age of a relay's word above which a node looks for a relay that has heard more.
+	staleAge = 6 * time.Second
+	// membersRate is what a node takes of membership changes on average, in bytes a second, and maxMembersDelay the
+	// longest time that it goes without them for it.
+	membersRate     = 3 << 10
+	maxMembersDelay = 20 * time.Second
 )
-
-// upstream is one control instance or relay that a node talks to.
-type upstream struct {
-	addr         string
-	distribution apiv1.Distribution
-	membership   apiv1.Membership
-}
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
 )
 
@@ -20,18 +22,27 @@
 	if request.Server == nil || request.Server.Instance == "" {
 		return nil, errNoServer
 	}
-	n.mu.Lock()
-	changed := n.announced == nil || n.announced.server.State != request.Server.State
 	request.Server.Node = n.options.Instance
 	request.Server.NodeControlAddr = n.options.ControlAddr
-	n.announced = &announcement{server: request.Server, expires: time.Now().Add(member.LeaseTime)}
-	n.mu.Unlock()
-	if changed {
+	if n.takeAnnouncement(request.Server) {
+		n.revise()
 		n.wakeRenewal()
 	}
 	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
 }
 
+// takeAnnouncement reports whether the backend server announced something new. Its load is no news: it travels on
+// its answers.
+func (n *Node) takeAnnouncement(server *apiv1.BackendServer) bool {
+	server.InFlight = 0
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	known := n.announced
+	n.announced = &announcement{server: server, expires: now.Add(member.LeaseTime)}
+	return known == nil || now.After(known.expires) || !proto.Equal(known.server, server)
+}
+
 func (n *Node) wakeRenewal() {
 	select {
 	case n.renewNow <- struct{}{}:
@@ -39,39 +50,66 @@
 	}
 }
 
-// renewLoop renews the leases at all control instances, and ends them when the context ends.
+// revise makes the next renewal the newest word about this node: newer than any before, also by an earlier process
+// of this instance.
+func (n *Node) revise() {
+	n.exceed(uint64(time.Now().UnixMicro()))
+}
+
+// exceed makes the next renewal carry a revision above the given one.
+func (n *Node) exceed(revision uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.revision = max(n.revision, revision) + 1
+}
+
+// renewLoop renews the leases, and ends them when the context ends.
 func (n *Node) renewLoop(ctx context.Context) error {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
+	failures := 0
 	for {
-		n.renewAll(ctx, false)
+		to, switched := n.selector.choice()
+		if n.renewOnce(ctx, to, false) {
+			failures = 0
+		} else if failures++; failures >= renewFailures && ctx.Err() == nil {
+			failures = 0
+			n.selector.fail(to)
+			continue
+		}
 		select {
 		case <-ctx.Done():
-			n.renewAll(context.WithoutCancel(ctx), true)
+			n.revise()
+			n.renewOnce(context.WithoutCancel(ctx), to, true)
 			return nil
 		case <-ticker.C:
 		case <-n.renewNow:
+		case <-switched:
+			n.revise()
 		}
 	}
 }
 
-func (n *Node) renewAll(ctx context.Context, leaving bool) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+// renewOnce reports whether the renewal was answered.
+func (n *Node) renewOnce(ctx context.Context, to *distribution.Client, leaving bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	request := n.renewRequest(leaving)
-	var wg sync.WaitGroup
-	for _, up := range n.upstreams {
-		wg.Go(func() {
-			if _, err := up.membership.Renew(ctx, request); err != nil {
-				n.options.Logger.Debug().Err(err).Str("upstream", up.addr).Msg("lease renewal failed")
-			}
-		})
+	response, err := to.Membership.Renew(ctx, n.renewRequest(leaving))
+	if err != nil {
+		n.options.Logger.Debug().Err(err).Str("upstream", to.Addr).Msg("lease renewal failed")
+		return false
+	}
+	if response.RefutedRevision > 0 && !leaving {
+		n.exceed(response.RefutedRevision)
+		n.wakeRenewal()
 	}
-	wg.Wait()
+	return true
 }
 
 func (n *Node) renewRequest(leaving bool) *apiv1.RenewRequest {
 	status := n.Status()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	request := &apiv1.RenewRequest{
 		Leaving: leaving,
 		Node: &apiv1.NodeInfo{
@@ -85,12 +123,16 @@
 			RefusedVersion:    status.RefusedVersion,
 			Refusal:           status.Refusal,
 			LastRenewedUnixMs: time.Now().UnixMilli(),
+			Revision:          n.revision,
 		},
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	if version, refusal := n.relay.Refused(); request.Node.RefusedVersion == 0 {
+		request.Node.RefusedVersion, request.Node.Refusal = version, refusal
+	}
 	if n.announced != nil && time.Now().Before(n.announced.expires) {
-		request.Servers = append(request.Servers, n.announced.server)
+		server := proto.Clone(n.announced.server).(*apiv1.BackendServer)
+		server.Revision = n.revision
+		request.Servers = append(request.Servers, server)
 	}
 	return request
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -2,48 +2,27 @@
 
 import (
 	"context"
-	"sync"
 	"time"
-
-	apiv1 "samphireflow/api/v1"
 )
 
-// reportLoop sends the outcomes of calls to all control instances.
+// reportLoop sends the outcomes of calls on their way to the control group.
 func (n *Node) reportLoop(ctx context.Context) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	for seq := uint64(1); ; seq++ {
+	from, _ := n.selector.choice()
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			n.reportAll(ctx, seq)
+		}
+		to, _ := n.selector.choice()
+		if to != from {
+			n.outcomesUp.Forget()
+			from = to
+		}
+		if err := n.outcomesUp.Send(ctx, to.Distribution); err != nil {
+			n.options.Logger.Debug().Err(err).Str("upstream", to.Addr).Msg("report failed")
 		}
 	}
 }
-
-func (n *Node) reportAll(ctx context.Context, seq uint64) {
-	outcomes := n.outcomes.Take()
-	if len(outcomes) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	request := &apiv1.ReportRequest{
-		Instance:       n.options.Instance,
-		FailureDomain:  n.options.FailureDomain,
-		Seq:            seq,
-		ProcessId:      n.incarnation,
-		Outcomes:       outcomes,
-		AppliedVersion: n.Status().Snapshot.GetVersion(),
-	}
-	var wg sync.WaitGroup
-	for _, up := range n.upstreams {
-		wg.Go(func() {
-			if _, err := up.distribution.Report(ctx, request); err != nil {
-				n.options.Logger.Debug().Err(err).Str("upstream", up.addr).Msg("report failed")
-			}
-		})
-	}
-	wg.Wait()
-}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -3,44 +3,111 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/cenkalti/backoff/v4"
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/routing"
 )
 
-// watchLoop keeps one watch open and goes to another control instance when it fails.
+// errSwitched is the cause of a watch's end when another process was chosen.
+var errSwitched = errors.New("another relay was chosen")
+
+// watchLoop keeps one watch open and goes to the next choice when it fails.
 func (n *Node) watchLoop(ctx context.Context) error {
-	next := rand.IntN(len(n.upstreams))
+	floor, err := n.floorLoop(ctx)
+	if err != nil {
+		return nil
+	}
+	n.applier.floor = floor
+	retry := newRetry()
+	homeAt := time.Now().Add(homeAfter)
 	for ctx.Err() == nil {
-		up := n.upstreams[next%len(n.upstreams)]
-		if err := n.watchOnce(ctx, up); err != nil {
-			n.options.Logger.Debug().Err(err).Str("upstream", up.addr).Msg("watch failed")
-			next++
-			pause(ctx, retryPause)
+		from, switched := n.selector.choice()
+		err := n.watchOnce(ctx, from, switched)
+		switch {
+		case err == nil:
+			retry.Reset()
+		case errors.Is(err, errSwitched):
+		default:
+			n.options.Logger.Debug().Err(err).Str("upstream", from.Addr).Msg("watch failed")
+			n.recover(ctx, from, err, retry)
+		}
+		if now := time.Now(); now.After(homeAt) {
+			n.selector.home()
+			homeAt = now.Add(homeAfter/2 + rand.N(homeAfter))
 		}
 	}
 	return nil
 }
 
-func (n *Node) watchOnce(ctx context.Context, up *upstream) error {
+// newRetry grows the pause from one failure to the next, with jitter, without end.
+func newRetry() *backoff.ExponentialBackOff {
+	return backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(retryPause),
+		backoff.WithMaxInterval(maxRetryPause),
+		backoff.WithMaxElapsedTime(0),
+	)
+}
+
+// recover turns to the next choice after a failure, or waits as long as an overloaded process asks for.
+func (n *Node) recover(ctx context.Context, from *distribution.Client, err error, retry backoff.BackOff) {
+	if after, ok := retryAfter(err); ok {
+		pause(ctx, after)
+		return
+	}
+	n.selector.fail(from)
+	pause(ctx, retry.NextBackOff())
+}
+
+// retryAfter returns the time after which an overloaded process wants to be asked again.
+func retryAfter(err error) (time.Duration, bool) {
+	var refused twirp.Error
+	if !errors.As(err, &refused) || refused.Code() != twirp.ResourceExhausted {
+		return 0, false
+	}
+	ms, err := strconv.ParseInt(refused.Meta(distribution.MetaRetryAfter), 10, 64)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
+}
+
+func (n *Node) watchOnce(ctx context.Context, from *distribution.Client, switched <-chan struct{}) error {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+requestTimeout)
 	defer cancel()
-	response, err := up.distribution.Watch(ctx, n.watchRequest())
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-switched:
+			cancel()
+		case <-ended:
+		}
+	}()
+	response, err := from.Distribution.Watch(ctx, n.watchRequest())
 	if err != nil {
-		return err
+		select {
+		case <-switched:
+			return errSwitched
+		default:
+			return err
+		}
 	}
-	n.takeResponse(response)
-	return nil
+	return n.takeResponse(ctx, from, response)
 }
 
 func (n *Node) watchRequest() *apiv1.WatchRequest {
 	request := &apiv1.WatchRequest{
 		Instance:       n.options.Instance,
 		FailureDomain:  n.options.FailureDomain,
+		Services:       n.options.Services,
 		WaitMs:         uint32(watchWait.Milliseconds()),
-		RefusedVersion: n.applier.refusedVersion,
-		Refusal:        n.applier.refusal,
+		RelaysEpoch:    n.selector.epoch(),
+		MembersAfterMs: uint32(max(0, time.Until(n.membersAt).Milliseconds())),
 	}
 	request.MembersSource, request.MembersSeq = n.directory.Position()
 	if current := n.applier.current; current != nil {
@@ -48,25 +115,91 @@
 		request.Term = current.Term
 		request.Digest = current.Digest
 	}
+	if n.applier.wantWhole {
+		request.Digest = 0
+		return request
+	}
+	request.RefusedVersion, request.Refusal = n.applier.refusedVersion, n.applier.refusal
 	return request
 }
 
-func (n *Node) takeResponse(response *apiv1.WatchResponse) {
-	changed, err := n.applier.take(response)
-	if err != nil {
-		n.options.Logger.Warn().Err(err).Msg("configuration refused")
+// takeResponse acts on an answer. A refused answer is no fault of the connection, so that it is no error, but the
+// word of a sender that is behind is.
+func (n *Node) takeResponse(ctx context.Context, from *distribution.Client, response *apiv1.WatchResponse) error {
+	n.learnRelays(response.Relays)
+	changed, refused := n.applier.take(response)
+	if refused != nil {
+		n.options.Logger.Warn().Err(refused).Str("upstream", from.Addr).Msg("configuration refused")
 	}
-	if response.Members != nil {
-		n.directory.Apply(response.Members)
-		changed = true
+	if changed {
+		n.learnRelays(distribution.RelaysOf(n.applier.current))
 	}
-	if changed && n.applier.current != nil {
+	membersChanged, err := n.takeMembers(response.Members)
+	if err != nil {
+		return err
+	}
+	if (changed || membersChanged) && n.applier.current != nil {
 		n.table.Store(routing.Build(n.applier.current, n.directory.Servers(), n.registry))
 	}
+	n.publish(changed || refused != nil)
+	if errors.Is(refused, ErrOlder) {
+		return refused
+	}
+	if time.Duration(response.AgeMs)*time.Millisecond > staleAge {
+		n.lookForFresher(ctx, from, response.AgeMs)
+	}
+	return nil
+}
+
+func (n *Node) learnRelays(relays *apiv1.Assignment) {
+	n.relay.LearnRelays(relays)
+	if n.selector.learn(relays) {
+		n.options.Logger.Info().Uint64("epoch", relays.Epoch).Msg("relays learned")
+	}
+}
+
+// takeMembers reports whether there was an update. The next one is asked for only after a time in which an update
+// of this size fits into the node's share of bytes.
+func (n *Node) takeMembers(data []byte) (bool, error) {
+	if len(data) == 0 {
+		return false, nil
+	}
+	update := &apiv1.MembersUpdate{}
+	if err := proto.Unmarshal(data, update); err != nil {
+		return false, errors.Wrap(err, "decode members")
+	}
+	n.directory.Apply(update)
+	delay := min(time.Duration(len(data))*time.Second/membersRate, maxMembersDelay)
+	n.membersAt = time.Now().Add(delay)
+	return true, nil
+}
+
+// publish shows the state of the configuration; told asks to renew the lease at once with it.
+func (n *Node) publish(told bool) {
 	n.status.Store(&Status{
 		Snapshot:       n.applier.current,
 		RefusedVersion: n.applier.refusedVersion,
 		Refusal:        n.applier.refusal,
 		Checked:        time.Now(),
 	})
+	if told {
+		n.revise()
+		n.wakeRenewal()
+	}
+}
+
+// lookForFresher asks the other relays how old their word is and turns to one that has heard more.
+func (n *Node) lookForFresher(ctx context.Context, from *distribution.Client, ageMs uint64) {
+	for _, other := range n.selector.others() {
+		if other == from {
+			continue
+		}
+		asked, cancel := context.WithTimeout(ctx, renewTimeout)
+		response, err := other.Distribution.Floor(asked, &apiv1.FloorRequest{FailureDomain: n.options.FailureDomain})
+		cancel()
+		if err == nil && response.AgeMs+uint64(staleAge.Milliseconds()) < ageMs {
+			n.selector.use(other)
+			return
+		}
+	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,8 +34,12 @@
 	AdminAddr     string `validate:"required,ipport" flag:"admin-addr"`
 	DataDir       string `validate:"required_unless=Role node" flag:"data-dir"`
 	ControlPeers  []Peer `validate:"required,min=1,dive" flag:"control-peers"`
-	LogLevel      string `validate:"oneof=debug info warn error" flag:"log-level"`
-	TraceExporter string `validate:"oneof=none file otlp" flag:"trace-exporter"`
+	// Seeds lists the control addresses of some nodes of the own failure domain.
+	Seeds []string `validate:"dive,ipport" flag:"seeds"`
+	// Services lists the services that the callers of this node call; empty for all.
+	Services      []string `validate:"dive,name" flag:"services"`
+	LogLevel      string   `validate:"oneof=debug info warn error" flag:"log-level"`
+	TraceExporter string   `validate:"oneof=none file otlp" flag:"trace-exporter"`
 	// TraceTarget is the file of the file exporter, or the URL of the OTLP/HTTP collector.
 	TraceTarget string `validate:"required_unless=TraceExporter none" flag:"trace-target"`
 	// TraceSample is the share of traces that are kept.
@@ -55,7 +59,7 @@
 	s := &Settings{}
 	flags := flag.NewFlagSet("samphireflowd", flag.ContinueOnError)
 	flags.SetOutput(usage)
-	peers := s.define(flags)
+	lists := s.define(flags)
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return nil, err
@@ -66,11 +70,20 @@
 		return nil, errors.Wrapf(ErrUsage, "unexpected argument %q", flags.Arg(0))
 	}
 	var faults []string
-	s.ControlPeers, faults = parsePeers(*peers)
+	s.ControlPeers, faults = parsePeers(*lists.peers)
+	s.Seeds = parseList(*lists.seeds)
+	s.Services = parseList(*lists.services)
 	return s, s.validate(faults)
 }
 
-func (s *Settings) define(flags *flag.FlagSet) *string {
+// listFlags are the flags that hold lists.
+type listFlags struct {
+	peers    *string
+	seeds    *string
+	services *string
+}
+
+func (s *Settings) define(flags *flag.FlagSet) listFlags {
 	hostname, _ := os.Hostname()
 	flags.StringVar((*string)(&s.Role), "role", "", "control, node or both")
 	flags.StringVar(&s.Instance, "instance", strings.ToLower(hostname), "name of this instance")
@@ -86,7 +99,11 @@
 	flags.Float64Var(&s.TraceSample, "trace-sample", 0, "share of traces that are kept, 0 to 1")
 	flags.BoolVar(&s.FaultInjection, "fault-injection", false, "let tests cut this process off from addresses")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
-	return flags.String("control-peers", "", "control instances as name=IP:port, separated by commas")
+	return listFlags{
+		peers:    flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
+		seeds:    flags.String("seeds", "", "control addresses, IP:port, of some nodes of the own failure domain, separated by commas (node)"),
+		services: flags.String("services", "", "services that the callers of this node call, separated by commas; empty for all (node)"),
+	}
 }
 
 // IsControl reports whether the process has the control role.
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -32,7 +32,7 @@
 	}
 	for _, e := range to {
 		before, ok := old[e.GetName()]
-		if !ok || !proto.Equal(before, e) {
+		if !ok || any(before) != any(e) && !proto.Equal(before, e) {
 			changed = append(changed, e)
 		}
 		delete(old, e.GetName())
@@ -83,6 +83,31 @@
 	return list
 }
 
+// Share returns the later of two snapshots with the parts that did not change taken from the earlier one, so that
+// many versions in memory cost little more than one.
+func Share(from, to *apiv1.Snapshot) *apiv1.Snapshot {
+	shared := &apiv1.Snapshot{Version: to.Version, Term: to.Term, FailureDomain: to.FailureDomain, Assignments: to.Assignments, Digest: to.Digest}
+	shared.Services = shareEntities(from.Services, to.Services)
+	shared.Routes = shareEntities(from.Routes, to.Routes)
+	shared.Resources = shareEntities(from.Resources, to.Resources)
+	return shared
+}
+
+func shareEntities[E entity](from, to []E) []E {
+	old := make(map[string]E, len(from))
+	for _, e := range from {
+		old[e.GetName()] = e
+	}
+	list := make([]E, len(to))
+	for i, e := range to {
+		list[i] = e
+		if before, ok := old[e.GetName()]; ok && proto.Equal(before, e) {
+			list[i] = before
+		}
+	}
+	return list
+}
+
 func sortEntities[E entity](list []E) {
 	sort.Slice(list, func(i, j int) bool { return list[i].GetName() < list[j].GetName() })
 }
--- /dev/null
+++ b/internal/snapshot/filter.go
@@ -0,0 +1,55 @@
+package snapshot
+
+import (
+	apiv1 "samphireflow/api/v1"
+)
+
+// Filter returns the part of a snapshot that some services need: the services, those that they fall back to, their
+// routes, and the resources that these refer to. An empty list keeps everything. A service that the snapshot does
+// not hold is left out. The digest is that of the part.
+func Filter(snap *apiv1.Snapshot, services []string) *apiv1.Snapshot {
+	if len(services) == 0 {
+		return snap
+	}
+	needed := Closure(snap, services)
+	part := &apiv1.Snapshot{Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain, Assignments: snap.Assignments}
+	for _, service := range snap.Services {
+		if needed[service.Name] {
+			part.Services = append(part.Services, service)
+		}
+	}
+	resources := map[string]bool{}
+	for _, route := range snap.Routes {
+		if needed[route.Service] {
+			part.Routes = append(part.Routes, route)
+			resources[route.RateLimit] = true
+		}
+	}
+	for _, resource := range snap.Resources {
+		if resources[resource.Name] {
+			part.Resources = append(part.Resources, resource)
+		}
+	}
+	part.Digest = Digest(part)
+	return part
+}
+
+// Closure returns the services of a snapshot that can be reached from some of them by fallback, themselves included.
+func Closure(snap *apiv1.Snapshot, services []string) map[string]bool {
+	fallbacks := make(map[string]string, len(snap.Services))
+	for _, service := range snap.Services {
+		fallbacks[service.Name] = service.Fallback
+	}
+	needed := make(map[string]bool, len(services))
+	for _, name := range services {
+		for {
+			fallback, held := fallbacks[name]
+			if !held || needed[name] {
+				break
+			}
+			needed[name] = true
+			name = fallback
+		}
+	}
+	return needed
+}
--- a/internal/state/assignments.go
+++ b/internal/state/assignments.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sort"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "samphireflow/api/v1"
 )
 
@@ -38,6 +40,9 @@
 		}
 	}
 	next := view.next(term)
+	wanted = proto.Clone(wanted).(*apiv1.Assignment)
+	wanted.Previous = current.GetNodes()
+	wanted.Version = next.Version
 	next.assignments = withAssignment(view.assignments, wanted)
 	next.history = appendHistory(view.history, &apiv1.HistoryEntry{
 		Version:        next.Version,
