--- a/internal/control/relay_service.go
+++ b/internal/control/relay_service.go
@@ -14,7 +14,7 @@
 
 // Sync takes the leases of a relay or another control instance and answers with those that it lacks.
 func (s relayService) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
-	watched := source{s.Server}
+	watched := source(s)
 	response := distribution.AnswerSync(s.members, request, watched.MembersComplete(), s.now())
 	response.Instance = s.options.Instance
 	response.AgeMs = uint64(watched.Age().Milliseconds())
--- a/internal/distribution/relay_set.go
+++ b/internal/distribution/relay_set.go
@@ -35,12 +35,3 @@
 	}
 	return a
 }
-
-// addrs lists the control addresses of assigned nodes.
-func addrs(nodes []*apiv1.AssignedNode) []string {
-	list := make([]string, 0, len(nodes))
-	for _, node := range nodes {
-		list = append(list, node.ControlAddr)
-	}
-	return list
-}
