--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -15,6 +15,7 @@
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/state"
+	"samphireflow/internal/tracing"
 )
 
 // Log is the replicated log as this package uses it; *replica.Replica is one.
@@ -57,7 +58,7 @@
 	started := time.Now()
 	client := &http.Client{
 		Timeout:   forwardTimeout,
-		Transport: &http.Transport{DialContext: netfault.Dialer(forwardTimeout)},
+		Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
 	}
 	members := member.NewHub(options.Instance, uint64(started.UnixNano()))
 	s := &Server{
