Give each data folder an identity, so that a lost disk never votes again

Cause: a blank folder voted under the name of the voter whose disk was lost, so two losses could lose an accepted edit. Change: a folder draws its identity when it is made, and members are identities. A new group forms once: its founder needs the promise of every initial member, each with a blank folder. A blank folder of a known name joins as a learner, catches up, the silent old voter is removed and the learner becomes a voter, one committed change at a time; a new name needs an operator's invitation. Ruled out: telling a first start from a lost disk by a flag in the settings (a restart with the same settings would vote again); letting a majority form the group (a late founder could form a second one).

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -82,6 +82,20 @@
 	return quorumValue(n.voterValues(func(p *progress) uint64 { return p.lastSeen }))
 }
 
+// SilentTicks returns how long a leader has not heard a member; false for one that is not a member.
+func (n *Node) SilentTicks(id string) (uint64, bool) {
+	p := n.progress[id]
+	if p == nil {
+		return 0, false
+	}
+	return n.ticks - p.lastSeen, true
+}
+
+// CaughtUp reports whether a leader could make a voter of a learner.
+func (n *Node) CaughtUp(id string) bool {
+	return n.caughtUp(id)
+}
+
 // Tick moves the node's time on by one.
 func (n *Node) Tick() {
 	n.ticks++
--- a/internal/replica/change.go
+++ b/internal/replica/change.go
@@ -8,25 +8,34 @@
 	apiv1 "samphireflow/api/v1"
 )
 
-// changeRequest is one change of the membership on its way into the log.
-type changeRequest struct {
-	next *apiv1.ReplicaMembership
-	*proposal
+// ErrNoSuchMember refuses to remove an instance that is not a member.
+var ErrNoSuchMember = errors.New("replica: no such member")
+
+// Invite lets an instance of a new name join the group. It asks for that with a blank folder, becomes a learner and,
+// once it has caught up, a voter. The invitation is kept by this leader only and must be repeated after a change of
+// the leader. Errors are those of Propose.
+func (r *Replica) Invite(ctx context.Context, name string) error {
+	var refusal error
+	err := r.call(ctx, func() {
+		if refusal = r.leaderError(); refusal == nil {
+			r.invited[name] = true
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return refusal
 }
 
-// ChangeMembers replaces the list of members by one that differs in one member.
-// Errors are those of Propose, and those of package raft for a change that is refused.
-func (r *Replica) ChangeMembers(ctx context.Context, members []Member) error {
-	request := &changeRequest{next: membershipOf(members), proposal: &proposal{done: make(chan outcome, 1)}}
-	select {
-	case r.changes <- request:
-	case <-ctx.Done():
-		return errors.Wrap(ErrNoQuorum, ctx.Err().Error())
-	case <-r.done:
-		return r.endError()
+// Remove takes an instance out of the group and waits for the commit. Errors are those of Propose, ErrNoSuchMember,
+// and those of package raft for a change that is refused.
+func (r *Replica) Remove(ctx context.Context, name string) error {
+	p := &proposal{done: make(chan outcome, 1)}
+	if err := r.call(ctx, func() { r.proposeRemoval(name, p) }); err != nil {
+		return err
 	}
 	select {
-	case out := <-request.done:
+	case out := <-p.done:
 		return out.err
 	case <-ctx.Done():
 		return errors.Wrap(ErrOutcomeUnknown, ctx.Err().Error())
@@ -35,16 +44,37 @@
 	}
 }
 
-func (r *Replica) change(request *changeRequest) {
-	if leader := r.node.Leader(); leader != "" && leader != r.node.ID() {
-		request.answer(nil, &notLeaderError{r.member(leader)})
+func (r *Replica) proposeRemoval(name string, p *proposal) {
+	if err := r.leaderError(); err != nil {
+		p.answer(nil, err)
 		return
 	}
-	index, term, err := r.node.ProposeMembership(request.next)
-	if err != nil {
-		request.answer(nil, err)
+	members := r.node.Membership().GetMembers()
+	for _, member := range members {
+		if member.Name != name {
+			continue
+		}
+		delete(r.invited, name)
+		index, term, err := r.node.ProposeMembership(&apiv1.ReplicaMembership{Members: without(members, member.Id)})
+		if err != nil {
+			p.answer(nil, err)
+			return
+		}
+		p.term = term
+		r.pending[index] = p
 		return
 	}
-	request.term = term
-	r.pending[index] = request.proposal
+	p.answer(nil, errors.Wrap(ErrNoSuchMember, name))
+}
+
+// leaderError is nil on the leader.
+func (r *Replica) leaderError() error {
+	switch leader := r.node.Leader(); leader {
+	case r.node.ID():
+		return nil
+	case "":
+		return ErrNoQuorum
+	default:
+		return &notLeaderError{r.member(leader)}
+	}
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -16,6 +16,7 @@
 func (r *Replica) run() {
 	defer close(r.done)
 	defer r.options.Transport.Close()
+	defer r.stopJoining()
 	ticker := time.NewTicker(r.options.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -30,8 +31,8 @@
 			r.propose(p)
 		case request := <-r.reads:
 			r.startRead(request)
-		case request := <-r.changes:
-			r.change(request)
+		case call := <-r.calls:
+			call()
 		}
 		r.drain()
 		if err := r.work(); err != nil {
@@ -45,6 +46,7 @@
 	r.node.Tick()
 	r.clock.note(r.node.Ticks(), r.options.Now())
 	r.repeatReads()
+	r.maintain()
 }
 
 // drain takes what else is queued, so that one sync serves it all.
@@ -65,6 +67,9 @@
 
 func (r *Replica) step(request *apiv1.StepRequest) {
 	for _, message := range request.Messages {
+		if !r.accepts(message.From) {
+			continue
+		}
 		if request.FromAddr != "" {
 			r.addresses[message.From] = request.FromAddr
 		}
@@ -74,6 +79,9 @@
 
 // work does everything that the node asks for.
 func (r *Replica) work() error {
+	if r.storageError != nil {
+		return r.storageError
+	}
 	r.releaseHeld()
 	r.node.Replicate()
 	r.node.ConfirmReads()
@@ -110,8 +118,8 @@
 		if err := r.log.SaveSnapshot(*ready.Snapshot, true, ready.Snapshot.Index); err != nil {
 			return err
 		}
-		if err := r.options.StateMachine.Restore(ready.Snapshot.Data); err != nil {
-			return errors.Wrap(err, "replica: restore a received snapshot")
+		if err := r.restore(ready.Snapshot.Data); err != nil {
+			return err
 		}
 		r.loseUpTo(ready.Snapshot.Index)
 	}
@@ -121,6 +129,14 @@
 	return r.log.Save(ready.HardState, ready.Entries, ready.Sync)
 }
 
+// restore puts a snapshot into the state machine; that of a new group is empty.
+func (r *Replica) restore(image []byte) error {
+	if len(image) == 0 {
+		return nil
+	}
+	return errors.Wrap(r.options.StateMachine.Restore(image), "replica: restore a snapshot")
+}
+
 func (r *Replica) apply(entries []*apiv1.Entry) {
 	for _, entry := range entries {
 		var result []byte
@@ -158,14 +174,12 @@
 	}
 }
 
-// member finds a member by its ID; one that the membership does not list has the address that it last sent from.
-func (r *Replica) member(id string) Member {
-	for _, member := range r.node.Membership().GetMembers() {
-		if member.Id == id {
-			return Member{ID: id, ControlAddr: member.ControlAddr, Learner: member.Learner}
-		}
+// member finds a member by its identity; one that the membership does not list has the address that it last sent from.
+func (r *Replica) member(identity string) Member {
+	if member := find(r.node.Membership().GetMembers(), identity); member != nil {
+		return memberOf(member)
 	}
-	return Member{ID: id, ControlAddr: r.addresses[id]}
+	return Member{Identity: identity, ControlAddr: r.addresses[identity]}
 }
 
 // fail ends the replica after a storage failure: nothing that it says could be trusted to last.
--- a/internal/replica/member.go
+++ b/internal/replica/member.go
@@ -8,27 +8,28 @@
 
 // Member is one instance of the control group.
 type Member struct {
+	// ID is the instance's name in its settings.
 	ID string
 	// ControlAddr is the IP number and port of the instance's control API.
 	ControlAddr string
 	// Learner is set for a member that receives the log but has no vote.
 	Learner bool
+	// Identity is that of the instance's data folder.
+	Identity string
 }
 
-func membershipOf(members []Member) *apiv1.ReplicaMembership {
-	sorted := append([]Member(nil), members...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
-	membership := &apiv1.ReplicaMembership{}
-	for _, member := range sorted {
-		membership.Members = append(membership.Members, &apiv1.ReplicaMember{Id: member.ID, ControlAddr: member.ControlAddr, Learner: member.Learner})
-	}
-	return membership
+func memberOf(member *apiv1.ReplicaMember) Member {
+	return Member{ID: member.Name, ControlAddr: member.ControlAddr, Learner: member.Learner, Identity: member.Id}
 }
 
-func membersOf(membership *apiv1.ReplicaMembership) []Member {
-	var members []Member
-	for _, member := range membership.GetMembers() {
-		members = append(members, Member{ID: member.Id, ControlAddr: member.ControlAddr, Learner: member.Learner})
+func membersOf(list []*apiv1.ReplicaMember) []Member {
+	members := make([]Member, 0, len(list))
+	for _, member := range list {
+		members = append(members, memberOf(member))
 	}
 	return members
 }
+
+func sortMembers(list []*apiv1.ReplicaMember) {
+	sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
+}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -22,8 +22,11 @@
 	ClusterID string
 	// Dir is the data folder.
 	Dir string
-	// Members are the voters of a new group; a folder that is not blank holds its own list.
-	Members      []Member
+	// Members are the voters of a new group, which forms when all of them are there with blank folders. An instance
+	// with a blank folder asks them to join; a folder that is not blank holds its own list.
+	Members []Member
+	// OwnAddr is the control address of an instance that Members do not list.
+	OwnAddr      string
 	StateMachine StateMachine
 	Transport    Transport
 	Logger       zerolog.Logger
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,9 @@
 package replica
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -21,7 +24,7 @@
 	inbox     chan *apiv1.StepRequest
 	proposals chan *proposal
 	reads     chan *readRequest
-	changes   chan *changeRequest
+	calls     chan func()
 	closing   chan struct{}
 	done      chan struct{}
 	closed    atomic.Bool
@@ -38,6 +41,13 @@
 	nextRead uint64
 	// addresses are those of senders that the membership does not list.
 	addresses map[string]string
+	identity  *apiv1.FolderIdentity
+	joiners   map[string]joiner
+	invited   map[string]bool
+	// storageError is a failure outside of the work of the node.
+	storageError error
+	// stopJoining ends the questions of an instance without a group and waits for them.
+	stopJoining func()
 }
 
 // Open opens the data folder and starts the replica.
@@ -48,7 +58,7 @@
 		Dir:          options.Dir,
 		ClusterID:    options.ClusterID,
 		Name:         options.ID,
-		Identity:     options.ID,
+		Identity:     newIdentity(options),
 		SegmentBytes: options.SegmentBytes,
 	})
 	if err != nil {
@@ -59,6 +69,7 @@
 		log.Close()
 		return nil, err
 	}
+	r.startJoining()
 	go r.run()
 	return r, nil
 }
@@ -69,7 +80,7 @@
 		inbox:     make(chan *apiv1.StepRequest, inboxLength),
 		proposals: make(chan *proposal, requestsLength),
 		reads:     make(chan *readRequest, requestsLength),
-		changes:   make(chan *changeRequest),
+		calls:     make(chan func()),
 		closing:   make(chan struct{}),
 		done:      make(chan struct{}),
 		log:       log,
@@ -77,30 +88,44 @@
 		pending:   map[uint64]*proposal{},
 		waiting:   map[uint64]*readRequest{},
 		// Answers to an earlier run of the instance must not meet a read of this one.
-		nextRead:  options.Rand.Uint64(),
-		addresses: map[string]string{},
+		nextRead:    options.Rand.Uint64(),
+		addresses:   map[string]string{},
+		joiners:     map[string]joiner{},
+		invited:     map[string]bool{},
+		stopJoining: func() {},
 	}
 }
 
-// load starts the node from the folder, or from the initial members when it is blank.
+// newIdentity names a blank folder: a voter whose disk was lost must not vote again under its old identity.
+func newIdentity(options Options) string {
+	return fmt.Sprintf("%s.%016x", options.ID, options.Rand.Uint64())
+}
+
+// load starts the node from the folder. A blank folder starts without a group.
 func (r *Replica) load(contents *wal.Contents) error {
-	state := contents.State
-	if state.Snapshot.Index == 0 && len(state.Entries) == 0 {
-		state.Snapshot = raft.Snapshot{Index: 1, Term: 1, Membership: membershipOf(r.options.Members)}
-		if err := r.log.SaveSnapshot(state.Snapshot, true, 0); err != nil {
-			return errors.Wrap(err, "replica: write the first snapshot")
-		}
+	r.identity = contents.Identity
+	if err := r.restore(contents.State.Snapshot.Data); err != nil {
+		return err
 	}
-	if len(state.Snapshot.Data) > 0 {
-		if err := r.options.StateMachine.Restore(state.Snapshot.Data); err != nil {
-			return errors.Wrap(err, "replica: restore the snapshot")
-		}
-	}
-	r.node = raft.New(r.options.raftConfig(contents.Identity.Identity), state)
+	r.node = raft.New(r.options.raftConfig(r.identity.Identity), contents.State)
 	r.publish()
 	return nil
 }
 
+// startJoining lets an instance without a group ask for one.
+func (r *Replica) startJoining() {
+	if r.formed() {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { r.joinLoop(ctx) })
+	r.stopJoining = func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // Close stops the replica and releases the data folder. What was proposed and not answered is unknown.
 func (r *Replica) Close() error {
 	if r.closed.Swap(true) {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -21,7 +21,7 @@
 // Step queues messages of another member; it drops them when the queue is full.
 func (s *server) Step(_ context.Context, request *apiv1.StepRequest) (*apiv1.StepResponse, error) {
 	if request.ClusterId != s.replica.options.ClusterID {
-		return nil, twirp.NewError(twirp.FailedPrecondition, "this instance belongs to another cluster")
+		return nil, errForeignCluster()
 	}
 	select {
 	case s.replica.inbox <- request:
@@ -32,3 +32,31 @@
 	}
 	return &apiv1.StepResponse{}, nil
 }
+
+// Join answers an instance that has no group yet.
+func (s *server) Join(ctx context.Context, request *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
+	if request.ClusterId != s.replica.options.ClusterID {
+		return nil, errForeignCluster()
+	}
+	if request.Member == nil {
+		return nil, twirp.RequiredArgumentError("member")
+	}
+	var response *apiv1.JoinResponse
+	err := s.replica.call(ctx, func() {
+		answer := s.replica.answerJoin(request)
+		if s.replica.storageError == nil {
+			response = answer
+		}
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	if response == nil {
+		return nil, twirp.NewError(twirp.Unavailable, ErrStopped.Error())
+	}
+	return response, nil
+}
+
+func errForeignCluster() error {
+	return twirp.NewError(twirp.FailedPrecondition, "this instance belongs to another cluster")
+}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Status is what a replica knows of itself and its group.
 type Status struct {
@@ -15,6 +18,10 @@
 	// Members lists voters and learners, Voters the IDs of the voters.
 	Members []Member
 	Voters  []string
+	// Joiners lists the names of instances that ask this leader to join.
+	Joiners []string
+	// Identity is that of the data folder.
+	Identity string
 	// LastContact is the time since the leader was heard, or since the leader heard a quorum.
 	LastContact time.Duration
 	// LogBytes is the size of the log on disk, in bytes.
@@ -34,14 +41,17 @@
 // publish makes the status after a step of the loop.
 func (r *Replica) publish() {
 	node := r.node
+	leader := r.member(node.Leader())
 	status := &Status{
 		ID:            r.options.ID,
-		Leader:        node.Leader(),
+		Leader:        leader.ID,
+		LeaderAddr:    leader.ControlAddr,
+		Identity:      r.identity.Identity,
 		Term:          node.Term(),
 		Commit:        node.Commit(),
 		Applied:       node.Applied(),
 		IsLeader:      node.Leader() == node.ID(),
-		Members:       membersOf(node.Membership()),
+		Members:       membersOf(node.Membership().GetMembers()),
 		contactAt:     r.clock.at(node.ContactTick()),
 		LogBytes:      r.log.Bytes(),
 		SnapshotIndex: node.SnapshotIndex(),
@@ -50,9 +60,10 @@
 		if !member.Learner {
 			status.Voters = append(status.Voters, member.ID)
 		}
-		if member.ID == status.Leader {
-			status.LeaderAddr = member.ControlAddr
-		}
 	}
+	for name := range r.joiners {
+		status.Joiners = append(status.Joiners, name)
+	}
+	sort.Strings(status.Joiners)
 	r.status.Store(status)
 }
--- a/internal/replica/twirp_transport.go
+++ b/internal/replica/twirp_transport.go
@@ -78,6 +78,13 @@
 	return p
 }
 
+// Join calls the Join method of the instance at an address.
+func (t *TwirpTransport) Join(ctx context.Context, addr string, request *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.options.Timeout)
+	defer cancel()
+	return apiv1.NewReplicationProtobufClient("http://"+addr, t.client).Join(ctx, request)
+}
+
 // Close ends all calls and waits for them.
 func (t *TwirpTransport) Close() {
 	t.cancel()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -117,11 +117,23 @@
 		return nil
 	}
 	contents.Identity = &apiv1.FolderIdentity{ClusterId: options.ClusterID, Name: options.Name, Identity: options.Identity}
-	payload, err := proto.Marshal(contents.Identity)
+	return errors.Wrap(l.writeIdentity(contents.Identity), "wal: write the identity")
+}
+
+func (l *Log) writeIdentity(identity *apiv1.FolderIdentity) error {
+	payload, err := proto.Marshal(identity)
 	if err != nil {
-		return errors.Wrap(err, "wal: encode the identity")
+		return err
+	}
+	return writeWhole(l.fs, l.dir, identityName, payload)
+}
+
+// SaveIdentity makes a change of the folder's identity record last. Any failure stops the log for good.
+func (l *Log) SaveIdentity(identity *apiv1.FolderIdentity) error {
+	if l.stopped {
+		return ErrStopped
 	}
-	return errors.Wrap(writeWhole(l.fs, l.dir, identityName, payload), "wal: write the identity")
+	return l.stopOn(l.writeIdentity(identity))
 }
 
 // Save writes a hard state and entries, and syncs them when asked to. Any failure stops the log for good.
--- a/internal/waltest/disk.go
+++ b/internal/waltest/disk.go
@@ -34,6 +34,8 @@
 	room      int
 	failSyncs bool
 	syncs     int
+	// thawed is closed when the disk works, and open while it hangs.
+	thawed chan struct{}
 }
 
 type inode struct {
@@ -48,7 +50,30 @@
 
 // NewDisk returns a blank disk.
 func NewDisk() *Disk {
-	return &Disk{names: map[string]*inode{}, durable: map[string]*inode{}, locked: map[string]bool{}, room: unlimited}
+	d := &Disk{names: map[string]*inode{}, durable: map[string]*inode{}, locked: map[string]bool{}, room: unlimited, thawed: make(chan struct{})}
+	close(d.thawed)
+	return d
+}
+
+// Freeze makes all writes and syncs hang until Thaw.
+func (d *Disk) Freeze() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.thawed = make(chan struct{})
+}
+
+// Thaw ends a Freeze.
+func (d *Disk) Thaw() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.thawed)
+}
+
+func (d *Disk) awaitThaw() {
+	d.mu.Lock()
+	thawed := d.thawed
+	d.mu.Unlock()
+	<-thawed
 }
 
 // PowerLoss drops what was not synced, or keeps some of it, as the random source says.
@@ -226,6 +251,7 @@
 }
 
 func (f *file) Write(data []byte) (int, error) {
+	f.disk.awaitThaw()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	if f.epoch != f.disk.epoch {
@@ -241,6 +267,7 @@
 }
 
 func (f *file) Sync() error {
+	f.disk.awaitThaw()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	f.disk.syncs++
