--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,7 @@
 	group.Go(func() error { return serve(ctx, "control", d.settings.ControlAddr, d.controlHandler()) })
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(ctx) })
+		group.Go(func() error { return d.watchStorage(ctx) })
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(ctx) })
@@ -124,6 +125,16 @@
 	return err
 }
 
+// watchStorage ends the process when its data folder has failed: what the disk holds is not known any more.
+func (d *Daemon) watchStorage(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.replica.Done():
+		return replica.ErrStopped
+	}
+}
+
 // controlHandler serves the twirp services of all roles of the process.
 func (d *Daemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
