--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -45,7 +45,7 @@
 	return &Deployment{
 		layout:   layout,
 		dir:      dir,
-		planner:  &planner{layout: layout, binDir: binDir, dir: dir, ports: newPorts()},
+		planner:  &planner{layout: layout, binDir: binDir, dir: dir, ports: processPorts},
 		launcher: newLauncher(filepath.Join(dir, "logs")),
 		manifest: Manifest{Routes: layout.Routes()},
 		expected: map[int]bool{},
--- a/internal/deployment/ports.go
+++ b/internal/deployment/ports.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -16,11 +17,15 @@
 	lastPort  = 32000
 )
 
-// ports hands out free ports of the loopback interface.
+// ports hands out free ports of the loopback interface, each one once.
 type ports struct {
+	mu   sync.Mutex
 	next int
 }
 
+// processPorts is shared by the deployments of this process, so that two that start at the same time differ.
+var processPorts = newPorts()
+
 func newPorts() *ports {
 	return &ports{next: firstPort + rand.IntN(lastPort-firstPort)}
 }
@@ -28,11 +33,7 @@
 // addr returns the IP:port of a port that is free now.
 func (p *ports) addr() (string, error) {
 	for range lastPort - firstPort {
-		addr := net.JoinHostPort(loopback, strconv.Itoa(p.next))
-		p.next++
-		if p.next >= lastPort {
-			p.next = firstPort
-		}
+		addr := net.JoinHostPort(loopback, strconv.Itoa(p.take()))
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -41,3 +42,15 @@
 	}
 	return "", errors.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
+
+// take returns the next port in turn.
+func (p *ports) take() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	port := p.next
+	p.next++
+	if p.next >= lastPort {
+		p.next = firstPort
+	}
+	return port
+}
--- a/test/shell/small_test.go
+++ b/test/shell/small_test.go
@@ -55,9 +55,10 @@
 	return startLayout(t, smallLayout(), prepare...)
 }
 
-// startLayout starts a deployment and names its last process of each role.
+// startLayout starts a deployment and names its last process of each role. The test runs beside others from then on.
 func startLayout(t *testing.T, layout deployment.Layout, prepare ...func(*deployment.Deployment)) *small {
 	t.Helper()
+	t.Parallel()
 	d, err := deployment.New(layout, binDir, t.TempDir())
 	require.NoError(t, err)
 	for _, change := range prepare {
