Split the demo's steps, keep two commands out of one folder, test the stand-in's stop and connections

A stopping stand-in tells its node that it drains before it lingers, not by the next turn of the heartbeat. The manifest shows env as an object. SetFaults serves the demo and other tests.

--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -137,6 +137,7 @@
 func (s *Server) shutDown() error {
 	s.log.Info().Int("in_flight", s.slots.inFlight()).Msg("backend server drains")
 	s.Drain()
+	s.announceNow()
 	time.Sleep(s.cfg.DrainLinger)
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DrainTimeout)
 	defer cancel()
@@ -149,14 +150,19 @@
 
 // leave tells the node that the backend server is gone.
 func (s *Server) leave() {
+	s.gone.Store(true)
+	s.announceNow()
+}
+
+// announceNow tells the node the present state before it returns.
+func (s *Server) announceNow() {
 	if s.cfg.NodeControlAddr == "" {
 		return
 	}
-	s.gone.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	if err := s.announcer.announce(ctx); err != nil {
-		s.log.Warn().Err(err).Msg("the node does not take the last announcement")
+		s.log.Warn().Err(err).Msg("the node does not take the announcement")
 	}
 }
 
--- /dev/null
+++ b/internal/deployment/demo_processes.go
@@ -0,0 +1,60 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+func (d *demo) stepStart(ctx context.Context) (string, error) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.Start(ctx); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d processes, %s", len(d.Processes()), seconds(time.Since(started))), nil
+}
+
+func (d *demo) stepStop(context.Context) (string, error) {
+	started := time.Now()
+	if err := d.Stop(); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d processes, %s", len(d.Processes()), seconds(time.Since(started))), nil
+}
+
+// killSome kills the leading control instance and the first service's last node.
+func (d *demo) killSome(ctx context.Context) error {
+	control, err := d.leader(ctx)
+	if err != nil {
+		return err
+	}
+	service := d.layout.Services[0].Name
+	for _, node := range byRole(d.Processes(), RoleNode) {
+		if node.Service == service {
+			d.killed = node
+		}
+	}
+	d.expect(control, d.killed)
+	signalAll([]Process{control, d.killed}, syscall.SIGKILL)
+	return nil
+}
+
+// leader returns the control instance that leads.
+func (d *demo) leader(ctx context.Context) (Process, error) {
+	controls := byRole(d.Processes(), RoleControl)
+	for _, control := range controls {
+		client := apiv1.NewStatusProtobufClient("http://"+control.ControlAddr, pollClient)
+		status, err := client.Get(ctx, &apiv1.StatusRequest{})
+		if err == nil && status.Leader == control.Instance {
+			return control, nil
+		}
+	}
+	return Process{}, errors.New("no control instance says that it leads")
+}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -71,6 +71,7 @@
 	require.Len(t, processes, 3+2*18)
 	seen := map[string]bool{}
 	for _, process := range processes {
+		require.NotNil(t, process.Env, "the manifest shows an object")
 		require.False(t, seen[process.name()])
 		seen[process.name()] = true
 		for _, addr := range []string{process.CallerAddr, process.ControlAddr, process.AdminAddr} {
@@ -134,3 +135,12 @@
 	got = mine.judge(response, body)
 	require.NotEmpty(t, got.fault)
 }
+
+func TestTwoCommandsDoNotWorkInOneFolder(t *testing.T) {
+	dir := t.TempDir()
+	unlock, err := lock(dir)
+	require.NoError(t, err)
+	require.ErrorContains(t, Down(dir, &strings.Builder{}), "another command")
+	unlock()
+	require.NoError(t, Down(dir, &strings.Builder{}))
+}
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -30,7 +30,9 @@
 	list := make([]Process, 0, len(p.layout.ControlDomains))
 	peers := make([]string, 0, len(p.layout.ControlDomains))
 	for i, domain := range p.layout.ControlDomains {
-		process := Process{Role: RoleControl, Instance: fmt.Sprintf("control-%d", i+1), FailureDomain: domain}
+		process := Process{
+			Role: RoleControl, Instance: fmt.Sprintf("control-%d", i+1), FailureDomain: domain, Env: map[string]string{},
+		}
 		if err := p.address(&process.ControlAddr, &process.AdminAddr); err != nil {
 			return nil, err
 		}
@@ -61,12 +63,17 @@
 // pair plans a node and the backend server beside it.
 func (p *planner) pair(service, version, domain string, number int) ([]Process, error) {
 	instance := instanceName(domain, service, number)
-	node := Process{Role: RoleNode, Instance: instance, FailureDomain: domain, Service: service}
+	node := Process{
+		Role: RoleNode, Instance: instance, FailureDomain: domain, Service: service, Env: map[string]string{},
+	}
 	if err := p.address(&node.CallerAddr, &node.ControlAddr, &node.AdminAddr); err != nil {
 		return nil, err
 	}
 	node.Argv = p.daemonArgv(&node, "--caller-addr", node.CallerAddr)
-	server := Process{Role: RoleBackendServer, Instance: instance, FailureDomain: domain, Service: service, Version: version}
+	server := Process{
+		Role: RoleBackendServer, Instance: instance, FailureDomain: domain, Service: service, Version: version,
+		Env: map[string]string{},
+	}
 	if err := p.address(&server.CallerAddr, &server.AdminAddr); err != nil {
 		return nil, err
 	}
--- a/internal/deployment/up.go
+++ b/internal/deployment/up.go
@@ -12,6 +12,11 @@
 
 // Up starts a deployment that outlives this process, and writes its manifest into dir.
 func Up(ctx context.Context, layout Layout, binDir, dir string, out io.Writer) error {
+	unlock, err := lock(dir)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	if err := refuseIfUp(dir); err != nil {
 		return err
 	}
@@ -33,7 +38,7 @@
 		return joinStop(err, deployment.Stop())
 	}
 	fmt.Fprintf(out, "%s is up: %d processes, listed in %s\n", layout.Name, len(deployment.Processes()), filepath.Join(dir, ManifestName))
-	fmt.Fprintf(out, "control addresses: %s\n", deployment.cli.control)
+	fmt.Fprintf(out, "for the command-line tool: export SAMPHIREFLOW_CONTROL=%s\n", deployment.cli.control)
 	return nil
 }
 
@@ -62,6 +67,11 @@
 
 // Down ends the processes that the manifest in dir lists and removes the manifest.
 func Down(dir string, out io.Writer) error {
+	unlock, err := lock(dir)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	manifest, err := ReadManifest(dir)
 	if errors.Is(err, os.ErrNotExist) {
 		fmt.Fprintln(out, "no deployment is up")
