--- a/internal/backendserver/announcer.go
+++ b/internal/backendserver/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,11 +27,14 @@
 	describe func() *apiv1.BackendServer
 	changed  chan struct{}
 	log      zerolog.Logger
+
+	// mu keeps announcements in order, so that an old state does not arrive after a new one.
+	mu sync.Mutex
 }
 
 func newAnnouncer(nodeControlAddr string, describe func() *apiv1.BackendServer, log zerolog.Logger) *announcer {
 	return &announcer{
-		client:   apiv1.NewMembershipProtobufClient("http://"+nodeControlAddr, &http.Client{Timeout: announceTimeout}),
+		client:   apiv1.NewMembershipProtobufClient("http://"+nodeControlAddr, &http.Client{}),
 		describe: describe,
 		changed:  make(chan struct{}, 1),
 		log:      log,
@@ -49,7 +53,7 @@
 func (a *announcer) run(ctx context.Context) {
 	failing := false
 	for {
-		err := a.announce(ctx)
+		err := a.announce()
 		if err != nil && !failing && ctx.Err() == nil {
 			a.log.Warn().Err(err).Msg("the node does not take the announcement")
 		}
@@ -77,7 +81,12 @@
 	return true
 }
 
-func (a *announcer) announce(ctx context.Context) error {
+// announce tells the present state. It is not cut short, since the node could take it later than the next one.
+func (a *announcer) announce() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
 	_, err := a.client.Announce(ctx, &apiv1.AnnounceRequest{Server: a.describe()})
 	return errors.Wrap(err, "announce")
 }
--- a/internal/backendserver/run_test.go
+++ b/internal/backendserver/run_test.go
@@ -60,13 +60,16 @@
 	stop()
 	require.NoError(t, <-ended)
 	close(node.states)
-	var told []apiv1.ServerState
+	told := []apiv1.ServerState{apiv1.ServerState_SERVER_STATE_READY}
 	for state := range node.states {
-		if len(told) == 0 || told[len(told)-1] != state {
+		if told[len(told)-1] != state {
 			told = append(told, state)
 		}
 	}
-	require.Contains(t, told, apiv1.ServerState_SERVER_STATE_DRAINING)
-	require.Equal(t, apiv1.ServerState_SERVER_STATE_GONE, told[len(told)-1])
+	require.Equal(t, []apiv1.ServerState{
+		apiv1.ServerState_SERVER_STATE_READY,
+		apiv1.ServerState_SERVER_STATE_DRAINING,
+		apiv1.ServerState_SERVER_STATE_GONE,
+	}, told)
 	http.DefaultClient.CloseIdleConnections()
 }
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -159,9 +159,7 @@
 	if s.cfg.NodeControlAddr == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	if err := s.announcer.announce(ctx); err != nil {
+	if err := s.announcer.announce(); err != nil {
 		s.log.Warn().Err(err).Msg("the node does not take the announcement")
 	}
 }
