Stop calls to a bad version on a node's own evidence; refuse decisions without sense

Between two reports a node went on sending to a version that failed every call, and the state machine took any step.

Weighed: a check in the proxy for each call, which would add a lock to the path of calls. The state machine refuses steps whose state and share do not go together, bounds the first share at 25% and rounds policy numbers instead of cutting them off.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
+	"samphireflow/internal/move/local"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/routing"
@@ -26,6 +27,8 @@
 
 	// table is what the proxy routes by; it is replaced whole.
 	table atomic.Pointer[routing.Table]
+	// guarded limits the shares in table by the node's own evidence.
+	guarded guarded
 	// status is what operators see of the applied configuration.
 	status atomic.Pointer[Status]
 
@@ -61,6 +64,7 @@
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
 		outcomes:    outcome.NewSum(options.FailureDomain),
+		guarded:     guarded{guard: local.NewGuard()},
 		renewNow:    make(chan struct{}, 1),
 		applier:     applier{failureDomain: options.FailureDomain},
 		directory:   member.NewDirectory(),
@@ -79,7 +83,7 @@
 
 // Table returns the routing table in force, nil before the first one.
 func (n *Node) Table() *routing.Table {
-	return n.table.Load()
+	return n.guarded.limit(n.table.Load())
 }
 
 // Status returns the applied configuration.
@@ -88,8 +92,8 @@
 }
 
 // Recorder returns where the proxy counts outcomes.
-func (n *Node) Recorder() *outcome.Sum {
-	return n.outcomes
+func (n *Node) Recorder() *Recorder {
+	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
 }
 
 // Ready reports whether the node has a configuration to serve by.
@@ -103,6 +107,7 @@
 	group.Go(func() error { return n.watchLoop(ctx) })
 	group.Go(func() error { return n.renewLoop(ctx) })
 	group.Go(func() error { return n.reportLoop(ctx) })
+	group.Go(func() error { return n.guardLoop(ctx) })
 	return group.Wait()
 }
 
--- a/internal/state/moves.go
+++ b/internal/state/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"google.golang.org/protobuf/proto"
 
@@ -16,6 +17,9 @@
 	endedMoveLimit = 1000
 	// defaultFirstShare is the first share of a move when nothing else is set, in basis points.
 	defaultFirstShare = 500
+	// largestFirstShare bounds the first share, in basis points: a version that is bad gets a small share only.
+	largestFirstShare = 2500
+	percent           = 100
 )
 
 func (m *Machine) startMove(request *apiv1.StartMoveRequest, now int64, term uint64) *apiv1.MoveResponse {
@@ -73,17 +77,18 @@
 	if request.Policy != nil {
 		policy = proto.Clone(request.Policy).(*apiv1.MovePolicy)
 	}
-	if policy.FirstShareBp == 0 || policy.FirstShareBp > FullShare {
-		policy.FirstShareBp = uint32(settings.Float(service, tree.KeyMoveFirstShare) * FullShare)
+	if policy.FirstShareBp == 0 {
+		policy.FirstShareBp = scaled(settings.Float(service, tree.KeyMoveFirstShare), FullShare)
 	}
 	if policy.FirstShareBp == 0 {
 		policy.FirstShareBp = defaultFirstShare
 	}
+	policy.FirstShareBp = min(policy.FirstShareBp, largestFirstShare)
 	if policy.ErrorMarginBp == 0 {
-		policy.ErrorMarginBp = uint32(settings.Float(service, tree.KeyMoveErrorMargin) * FullShare)
+		policy.ErrorMarginBp = scaled(settings.Float(service, tree.KeyMoveErrorMargin), FullShare)
 	}
 	if policy.LatencyRatioPct == 0 {
-		policy.LatencyRatioPct = uint32(settings.Float(service, tree.KeyMoveLatencyRatio) * 100)
+		policy.LatencyRatioPct = scaled(settings.Float(service, tree.KeyMoveLatencyRatio), percent)
 	}
 	if policy.WatchMs == 0 {
 		policy.WatchMs = uint64(settings.Duration(service, tree.KeyMoveWatch).Milliseconds())
@@ -94,6 +99,11 @@
 	return policy
 }
 
+// scaled returns a number in a finer unit, rounded.
+func scaled(number, unit float64) uint32 {
+	return uint32(math.Round(number * unit))
+}
+
 func (m *Machine) cancelMove(request *apiv1.CancelMoveRequest, now int64, term uint64) *apiv1.MoveResponse {
 	view := m.View()
 	move := view.Move(request.MoveId)
@@ -116,6 +126,9 @@
 	if move == nil || !Active(move) || move.Revision != step.Revision {
 		return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT, Move: move, Detail: "the decision is stale"}
 	}
+	if fault := stepFault(move, step); fault != "" {
+		return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Move: move, Detail: fault}
+	}
 	return m.acceptMove(view, changeMove(move, now, func(changed *apiv1.Move) {
 		changed.State = step.State
 		changed.Stage = step.Stage
@@ -124,6 +137,33 @@
 	}), now, term)
 }
 
+// stepFault refuses a decision whose state and share do not go together. An ended move has no share but a done one,
+// which has all of it.
+func stepFault(move *apiv1.Move, step *apiv1.StepMove) string {
+	whole := step.ShareBp == FullShare
+	switch step.State {
+	case apiv1.MoveState_MOVE_STATE_RUNNING:
+		if step.ShareBp == 0 || step.ShareBp >= FullShare {
+			return fmt.Sprintf("a running move cannot have a share of %d basis points", step.ShareBp)
+		}
+	case apiv1.MoveState_MOVE_STATE_WATCHING:
+		if !whole {
+			return "a watched move must have all calls"
+		}
+	case apiv1.MoveState_MOVE_STATE_DONE:
+		if !whole || move.State != apiv1.MoveState_MOVE_STATE_WATCHING {
+			return "only a watched move can be done"
+		}
+	case apiv1.MoveState_MOVE_STATE_TAKEN_BACK, apiv1.MoveState_MOVE_STATE_EXPIRED:
+		if step.ShareBp != 0 {
+			return "a move that ended without the new version cannot have a share"
+		}
+	default:
+		return "unknown state " + step.State.String()
+	}
+	return ""
+}
+
 func changeMove(move *apiv1.Move, now int64, change func(*apiv1.Move)) *apiv1.Move {
 	changed := proto.Clone(move).(*apiv1.Move)
 	change(changed)
