--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -2,9 +2,12 @@
 
 import (
 	"samphireflow/internal/bench"
+	"samphireflow/internal/bench/distribution"
 )
 
 // suites lists the measurements in the order in which they run.
 func suites() []bench.Suite {
-	return []bench.Suite{}
+	return []bench.Suite{
+		{Name: "distribution", Run: distribution.Run},
+	}
 }
--- /dev/null
+++ b/internal/bench/distribution/run.go
@@ -0,0 +1,153 @@
+package distribution
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"samphireflow/internal/bench"
+	"samphireflow/internal/deployment"
+)
+
+// sizes are the numbers of nodes at which convergence and costs are measured.
+var sizes = []int{20, 100, 300, 920}
+
+const (
+	// idleTime is the time over which costs without changes are measured.
+	idleTime = 20 * time.Second
+	// byteTarget is what a node may send and receive for control, in bytes a second, processorTarget its share of a
+	// core in percent, and memoryTarget its memory in MB.
+	byteTarget      = 5 * 1024
+	processorTarget = 1.7
+	memoryTarget    = 64
+	// changesPerDay is the number of changes of configuration at the size of the letter.
+	changesPerDay = 1700
+	secondsPerDay = 24 * 60 * 60
+)
+
+// Run measures the distribution of configuration and membership.
+func Run(ctx context.Context, seed int64) ([]bench.Result, error) {
+	dir, err := os.MkdirTemp("", "samphireflow-bench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	c, err := startCluster(ctx, dir)
+	if c != nil {
+		defer func() { _ = c.stop() }()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c.run(ctx, seed)
+}
+
+func (c *cluster) run(ctx context.Context, seed int64) ([]bench.Result, error) {
+	var results []bench.Result
+	var idle []cost
+	for _, size := range sizes {
+		if err := c.resize(ctx, size); err != nil {
+			return results, err
+		}
+		measured, err := c.measure(ctx, rest(idleTime))
+		if err != nil {
+			return results, err
+		}
+		idle = append(idle, measured)
+		converged, err := c.converge(ctx, seed)
+		results = append(results, converged...)
+		if err != nil {
+			return results, err
+		}
+	}
+	results = append(results, slopes(idle)...)
+	for _, step := range []func(context.Context, int64, cost) ([]bench.Result, error){c.loads, c.memory, c.storms, c.baseline} {
+		more, err := step(ctx, seed, idle[len(idle)-1])
+		results = append(results, more...)
+		if err != nil {
+			return results, err
+		}
+	}
+	return results, nil
+}
+
+// resize starts nodes up to a size and waits until all act on the newest version.
+func (c *cluster) resize(ctx context.Context, size int) error {
+	if err := c.fleet.grow(ctx, size-relayHosts*len(domains)); err != nil {
+		return err
+	}
+	if err := c.await(ctx, c.base); err != nil {
+		return err
+	}
+	return rest(settleTime)(ctx)
+}
+
+// slopes fits what a role costs to the number of nodes.
+func slopes(costs []cost) []bench.Result {
+	var results []bench.Result
+	for _, role := range []struct {
+		name string
+		of   func(cost) rate
+	}{
+		{"control instance", func(c cost) rate { return c.control }},
+		{"relay", func(c cost) rate { return c.relay }},
+	} {
+		var nodes, cores, bytes []float64
+		for _, measured := range costs {
+			nodes = append(nodes, float64(measured.nodes))
+			cores = append(cores, 100*role.of(measured).cores)
+			bytes = append(bytes, role.of(measured).bytes())
+		}
+		slope, intercept := fit(nodes, cores)
+		results = append(results,
+			bench.Figure(role.name+", processor a node of the deployment", slope, "% of a core"),
+			bench.Figure(role.name+", processor without nodes", intercept, "% of a core"))
+		slope, intercept = fit(nodes, bytes)
+		results = append(results,
+			bench.Figure(role.name+", bytes a node of the deployment", slope, "B/s"),
+			bench.Figure(role.name+", bytes without nodes", intercept, "B/s"))
+	}
+	return results
+}
+
+// describe makes the figures of one load.
+func describe(load string, measured cost) []bench.Result {
+	return []bench.Result{
+		bench.AtMost("node, bytes, "+load, measured.node.bytes(), "B/s", byteTarget),
+		bench.AtMost("node, processor, "+load, 100*measured.node.cores, "% of a core", processorTarget),
+		bench.Figure("relay, bytes sent, "+load, measured.relay.sent, "B/s"),
+		bench.Figure("relay, bytes received, "+load, measured.relay.received, "B/s"),
+		bench.Figure("relay, processor, "+load, 100*measured.relay.cores, "% of a core"),
+		bench.Figure("control instance, bytes sent, "+load, measured.control.sent, "B/s"),
+		bench.Figure("control instance, bytes received, "+load, measured.control.received, "B/s"),
+		bench.Figure("control instance, processor, "+load, 100*measured.control.cores, "% of a core"),
+	}
+}
+
+// memory measures the memory of each role.
+func (c *cluster) memory(context.Context, int64, cost) ([]bench.Result, error) {
+	here, err := residentBytes(os.Getpid())
+	if err != nil {
+		return nil, err
+	}
+	results := []bench.Result{bench.Figure("node, memory, many to a process", here/1e6/float64(len(c.fleet.nodes)), "MB")}
+	for _, role := range []deployment.Role{deployment.RoleNode, deployment.RoleControl} {
+		var most float64
+		for _, pid := range c.pids(role) {
+			resident, err := residentBytes(pid)
+			if err != nil {
+				return results, err
+			}
+			most = max(most, resident/1e6)
+		}
+		name := "control instance, memory, largest process"
+		if role == deployment.RoleNode {
+			results = append(results, bench.AtMost("relay, memory, largest process", most, "MB", memoryTarget))
+			continue
+		}
+		results = append(results, bench.Figure(name, most, "MB"))
+	}
+	return results, nil
+}
