--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -3,11 +3,13 @@
 import (
 	"samphireflow/internal/bench"
 	"samphireflow/internal/bench/distribution"
+	"samphireflow/internal/bench/moves"
 )
 
 // suites lists the measurements in the order in which they run.
 func suites() []bench.Suite {
 	return []bench.Suite{
 		{Name: "distribution", Run: distribution.Run},
+		moves.Suite(),
 	}
 }
--- a/internal/distribution/member_answers.go
+++ b/internal/distribution/member_answers.go
@@ -20,6 +20,9 @@
 	cached map[memberPosition][]byte
 }
 
+// partialMark ends the source of updates from a table that is not complete.
+const partialMark = "~"
+
 // memberPosition is what a watcher has: the services that it sees and the number up to which it has them.
 type memberPosition struct {
 	source string
@@ -31,9 +34,13 @@
 }
 
 // since returns the encoded update from a position, nil when there is nothing new. A position of another source, or
-// of another set of services, gets the complete list.
-func (a *memberAnswers) since(source string, seq uint64, services map[string]bool) []byte {
+// of another set of services, gets the whole list. While the table is not complete, the list only adds to what the
+// watcher has, and its source is another one, so that the complete list follows.
+func (a *memberAnswers) since(source string, seq uint64, services map[string]bool, complete bool) []byte {
 	own := a.hub.Source() + servicesKey(services)
+	if !complete {
+		own += partialMark
+	}
 	if source != own {
 		seq = 0
 	}
@@ -49,15 +56,18 @@
 	at := memberPosition{own, seq}
 	data, known := a.cached[at]
 	if !known {
-		data = encode(a.update(own, seq, services))
+		data = encode(a.update(own, seq, services, complete))
 		a.cached[at] = data
 	}
 	return data
 }
 
-func (a *memberAnswers) update(source string, seq uint64, services map[string]bool) *apiv1.MembersUpdate {
+func (a *memberAnswers) update(source string, seq uint64, services map[string]bool, complete bool) *apiv1.MembersUpdate {
 	update := a.hub.Since(seq, services)
 	update.Source = source
+	if !complete {
+		update.Full, update.Removed = false, nil
+	}
 	return update
 }
 
--- a/internal/distribution/watch_server.go
+++ b/internal/distribution/watch_server.go
@@ -94,8 +94,9 @@
 		answer := history.Answer(request.Services, request.Version, request.Digest)
 		response.Snapshot, response.Delta = answer.Snapshot, answer.Delta
 	}
-	if wantMembers && s.source.MembersComplete() {
-		response.Members = s.members.since(request.MembersSource, request.MembersSeq, history.Closure(request.Services))
+	if wantMembers {
+		complete := s.source.MembersComplete()
+		response.Members = s.members.since(request.MembersSource, request.MembersSeq, history.Closure(request.Services), complete)
 	}
 	return response
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"golang.org/x/time/rate"
+
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
@@ -47,8 +49,9 @@
 	applier   applier
 	directory *member.Directory
 	registry  *routing.Registry
-	// membersAt is the time from which the next membership change is wanted.
-	membersAt time.Time
+	// membersBudget bounds the bytes of membership changes, membersAt is the time from which the next membership change is wanted.
+	membersBudget *rate.Limiter
+	membersAt     time.Time
 }
 
 // Status is the applied configuration as operators see it.
@@ -71,6 +74,8 @@
 		applier:     applier{failureDomain: options.FailureDomain},
 		directory:   member.NewDirectory(),
 		registry:    routing.NewRegistry(),
+
+		membersBudget: rate.NewLimiter(membersRate, membersBurst),
 	}
 	n.relay = distribution.NewRelay(distribution.RelayOptions{
 		Instance:      options.Instance,
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -43,8 +43,9 @@
 	homeAfter = 30 * time.Second
 	// staleAge is the age of a relay's word above which a node looks for a relay that has heard more.
 	staleAge = 6 * time.Second
-	// membersRate is what a node takes of membership changes on average, in bytes a second, and maxMembersDelay the
-	// longest time that it goes without them for it.
+	// membersRate is what a node takes of membership changes on average, in bytes a second, membersBurst what it takes
+	// at once after a quiet time, and maxMembersDelay the longest time that it goes without them.
 	membersRate     = 3 << 10
+	membersBurst    = 128 << 10
 	maxMembersDelay = 20 * time.Second
 )
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// takeMembers reports whether there was an update. The next one is asked for only after a time in which an update
-// of this size fits into the node's share of bytes.
+// takeMembers reports whether there was an update. The next one is asked for only once the node's share of
+// bytes has room for it.
 func (n *Node) takeMembers(data []byte) (bool, error) {
 	if len(data) == 0 {
 		return false, nil
@@ -169,8 +169,9 @@
 		return false, errors.Wrap(err, "decode members")
 	}
 	n.directory.Apply(update)
-	delay := min(time.Duration(len(data))*time.Second/membersRate, maxMembersDelay)
-	n.membersAt = time.Now().Add(delay)
+	now := time.Now()
+	delay := n.membersBudget.ReserveN(now, min(len(data), membersBurst)).DelayFrom(now)
+	n.membersAt = now.Add(min(delay, maxMembersDelay))
 	return true, nil
 }
 
