Share one HTTP/2 connection to a relay, go home to relays early, five relays a failure domain

Change: HTTP/2 without TLS between the processes; a node that follows a control instance although relays are assigned tries them again after 2 s; relay sets of five; watches end at a planned stop.

--- a/internal/assign/planner.go
+++ b/internal/assign/planner.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// setSize is the number of nodes in a set where a failure domain has that many; sets are odd.
-	setSize = 3
+	// setSize is the number of nodes in a set where a failure domain has that many, and relaySetSize that of relays,
+	// which share the load of all its nodes; sets are odd.
+	setSize      = 3
+	relaySetSize = 5
 	// replaceAfter is the time for which a node of a set must be gone before another takes its place.
 	replaceAfter = 30 * time.Second
 	// settleTime is the time after a planner's start in which it founds no set, so that nodes can renew first.
@@ -84,7 +86,7 @@
 	switch {
 	case moveAddress(next, liveByName):
 		return next
-	case len(current.Nodes) < wantedSize(len(live)):
+	case len(current.Nodes) < wantedSize(len(live), role):
 		return p.grow(next, ranked)
 	}
 	return p.replaceGone(next, ranked, liveByName, now)
@@ -96,7 +98,7 @@
 		return nil
 	}
 	first := &apiv1.Assignment{FailureDomain: domain, Role: role, Epoch: 1}
-	for _, node := range ranked[:wantedSize(len(ranked))] {
+	for _, node := range ranked[:wantedSize(len(ranked), role)] {
 		first.Nodes = append(first.Nodes, assigned(node))
 	}
 	return first
@@ -199,9 +201,12 @@
 	return false
 }
 
-// wantedSize is the largest odd number up to setSize that a failure domain of n nodes can fill.
-func wantedSize(n int) int {
+// wantedSize is the largest odd number up to the size of the role's set that a failure domain of n nodes can fill.
+func wantedSize(n int, role apiv1.AssignmentRole) int {
 	size := min(n, setSize)
+	if role == apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY {
+		size = min(n, relaySetSize)
+	}
 	if size%2 == 0 {
 		size--
 	}
--- a/internal/bench/distribution/converge.go
+++ b/internal/bench/distribution/converge.go
@@ -69,7 +69,7 @@
 			}
 		}
 		if seen < len(c.fleet.nodes) {
-			if err := c.await1(ctx); err != nil {
+			if err := rest(pollInterval)(ctx); err != nil {
 				return err
 			}
 		}
@@ -77,18 +77,6 @@
 	return nil
 }
 
-// await1 waits for one poll interval.
-func (c *cluster) await1(ctx context.Context) error {
-	timer := time.NewTimer(pollInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func seconds(microseconds int64) float64 {
 	return float64(microseconds) / 1e6
 }
--- a/internal/bench/distribution/fleet.go
+++ b/internal/bench/distribution/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/node"
 )
 
@@ -110,7 +111,7 @@
 	n.Register(mux)
 	inspect := apiv1.NewInspectServer(n)
 	mux.Handle(inspect.PathPrefix(), inspect)
-	server := &http.Server{Handler: mux}
+	server := &http.Server{Handler: mux, Protocols: distribution.ServerProtocols()}
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
--- a/internal/bench/distribution/layout.go
+++ b/internal/bench/distribution/layout.go
@@ -14,7 +14,7 @@
 	routesPerService = 5
 	// relayHosts is the number of nodes of each failure domain that run as processes of their own; the relays are
 	// assigned from them, because they are the first to come.
-	relayHosts = 3
+	relayHosts = 5
 )
 
 // domains are the failure domains, two in each of two regions.
--- a/internal/bench/distribution/run.go
+++ b/internal/bench/distribution/run.go
@@ -12,7 +12,7 @@
 )
 
 // sizes are the numbers of nodes at which convergence and costs are measured.
-var sizes = []int{20, 100, 300, 920}
+var sizes = []int{24, 100, 300, 920}
 
 const (
 	// idleTime is the time over which costs without changes are measured.
--- a/internal/bench/distribution/storms.go
+++ b/internal/bench/distribution/storms.go
@@ -10,7 +10,7 @@
 )
 
 // sampleTime is the time over which a peak is taken.
-const sampleTime = 500 * time.Millisecond
+const sampleTime = 250 * time.Millisecond
 
 // storms measures how everything returns after a role has died at once.
 func (c *cluster) storms(ctx context.Context, _ int64, _ cost) ([]bench.Result, error) {
@@ -104,7 +104,7 @@
 	p := &peaks{cancel: cancel}
 	p.running.Go(func() {
 		for ctx.Err() == nil {
-			sample, err := c.measure(ctx, rest(sampleTime))
+			sample, err := c.measure(ctx, atMost(sampleTime))
 			if err != nil {
 				return
 			}
@@ -115,6 +115,14 @@
 	return p
 }
 
+// atMost rests for a time, less when the context ends.
+func atMost(d time.Duration) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		_ = rest(d)(ctx)
+		return nil
+	}
+}
+
 func (p *peaks) stop() cost {
 	p.cancel()
 	p.running.Wait()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -41,6 +41,7 @@
 	reaper   *distribution.Reaper
 	builder  *builder
 	barrier  *barrier
+	watches  *distribution.WatchServer
 	outcomes *outcome.Sum
 	reports  *distribution.ReportFilter
 	client   *http.Client
@@ -72,6 +73,7 @@
 		started:  started,
 		now:      time.Now,
 	}
+	s.watches = distribution.NewWatchServer(source{s}, members)
 	s.reaper = distribution.NewReaper(members, client, s.helpers)
 	s.exchange = distribution.NewMemberExchange(options.Instance, members, client, s.otherControls, options.Logger)
 	return s
@@ -97,10 +99,7 @@
 func (s *Server) Register(mux *http.ServeMux) {
 	mount(mux, apiv1.NewConfigServer(s))
 	mount(mux, apiv1.NewMovesServer(movesService{s}))
-	mount(mux, apiv1.NewDistributionServer(distributionService{
-		WatchServer: distribution.NewWatchServer(source{s}, s.members),
-		server:      s,
-	}))
+	mount(mux, apiv1.NewDistributionServer(distributionService{s.watches, s}))
 	mount(mux, apiv1.NewRelayServer(relayService{s}))
 	mount(mux, apiv1.NewMembershipServer(membershipService{s}))
 	mount(mux, apiv1.NewStatusServer(s))
@@ -112,6 +111,7 @@
 
 // Run does the periodic work of the role until the context ends.
 func (s *Server) Run(ctx context.Context) error {
+	defer s.watches.Stop()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.reaper.Run(ctx) })
 	group.Go(func() error { return s.exchange.Run(ctx) })
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireflow/internal/distribution"
 )
 
 const (
@@ -25,6 +27,7 @@
 		return errors.Wrapf(err, "listen on %s address", name)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server.Protocols = distribution.ServerProtocols()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -13,6 +13,9 @@
 	dialTimeout = time.Second
 	// requestTimeout bounds a request that is answered at once.
 	requestTimeout = 2 * time.Second
+	// pingAfter is the silence after which a connection is tested, and pingTimeout the time in which it must answer.
+	pingAfter   = 5 * time.Second
+	pingTimeout = 3 * time.Second
 )
 
 // Client reaches one control instance, relay or node.
@@ -23,16 +26,28 @@
 	Relay        apiv1.Relay
 }
 
-// NewHTTPClient returns the HTTP client that a process shares for all Clients.
+// NewHTTPClient returns the HTTP client that a process shares for all Clients. It speaks HTTP/2 without TLS: the
+// watch, the renewals and the reports to one process share a connection, and headers that repeat cost a byte each.
 func NewHTTPClient() *http.Client {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         netfault.Dialer(dialTimeout),
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:        netfault.Dialer(dialTimeout),
+		Protocols:          protocols,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		IdleConnTimeout:    time.Minute,
+		DisableCompression: true,
 	}}
 }
 
+// ServerProtocols returns what a server that Clients reach must speak; operators' tools use HTTP/1.
+func ServerProtocols() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
 // Dial returns a client of the process at a control address, IP:port. It makes no connection yet.
 func Dial(addr string, client *http.Client) *Client {
 	base := "http://" + addr
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -86,6 +86,7 @@
 
 // Run waits until this node is one of the relays, works while it is, and so on until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
+	defer r.Stop()
 	for ctx.Err() == nil {
 		told := r.state.toldChannel()
 		if r.state.isRelay() {
--- a/internal/distribution/watch_server.go
+++ b/internal/distribution/watch_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -32,6 +33,9 @@
 	members *memberAnswers
 	hub     *member.Hub
 	limiter *rate.Limiter
+	// stopping is closed at a planned stop.
+	stopping chan struct{}
+	stopOnce sync.Once
 }
 
 // NewWatchServer returns a server for the versions of a source and the members of a hub.
@@ -41,9 +45,16 @@
 		hub:     hub,
 		members: newMemberAnswers(hub),
 		limiter: rate.NewLimiter(answerRate, answerBurst),
+
+		stopping: make(chan struct{}),
 	}
 }
 
+// Stop ends the watches, so that the watchers turn to another process at once.
+func (s *WatchServer) Stop() {
+	s.stopOnce.Do(func() { close(s.stopping) })
+}
+
 // Watch answers when there is something that the watcher does not have (twirp service Distribution).
 func (s *WatchServer) Watch(ctx context.Context, request *apiv1.WatchRequest) (*apiv1.WatchResponse, error) {
 	if request.FailureDomain == "" {
@@ -66,6 +77,8 @@
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
+		case <-s.stopping:
+			return nil, twirp.NewError(twirp.Unavailable, "this process stops")
 		case <-end.C:
 			return response, nil
 		case <-membersDue.C:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.relay.Run(ctx) })
 	group.Go(func() error { return n.watchLoop(ctx) })
+	group.Go(func() error { return n.homeLoop(ctx) })
 	group.Go(func() error { return n.renewLoop(ctx) })
 	group.Go(func() error { return n.reportLoop(ctx) })
 	return group.Wait()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -41,6 +41,9 @@
 	maxRetryPause = 3 * time.Second
 	// homeAfter is the mean time after which a node that turned to a second choice tries its first one again.
 	homeAfter = 30 * time.Second
+	// relayAfter is the mean time after which a node that follows a control instance, although relays are assigned,
+	// tries the relays again.
+	relayAfter = 2 * time.Second
 	// staleAge is the age of a relay's word above which a node looks for a relay that has heard more.
 	staleAge = 6 * time.Second
 	// membersRate is what a node takes of membership changes on average, in bytes a second, membersBurst what it takes
--- a/internal/node/selector.go
+++ b/internal/node/selector.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// strayed reports whether a control instance is in use although relays are assigned.
+func (s *selector) strayed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	relays := len(s.choices) - len(s.control)
+	return relays > 0 && s.current >= relays
+}
+
 // home turns back to the first choice. It reports whether another one was in use.
 func (s *selector) home() bool {
 	s.mu.Lock()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -27,7 +27,6 @@
 	}
 	n.applier.floor = floor
 	retry := newRetry()
-	homeAt := time.Now().Add(homeAfter)
 	for ctx.Err() == nil {
 		from, switched := n.selector.choice()
 		err := n.watchOnce(ctx, from, switched)
@@ -39,10 +38,26 @@
 			n.options.Logger.Debug().Err(err).Str("upstream", from.Addr).Msg("watch failed")
 			n.recover(ctx, from, err, retry)
 		}
-		if now := time.Now(); now.After(homeAt) {
+	}
+	return nil
+}
+
+// homeLoop turns back to the first choice now and then, so that a relay that returned gets its nodes back.
+func (n *Node) homeLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_, switched := n.selector.choice()
+		wait := homeAfter
+		if n.selector.strayed() {
+			wait = relayAfter
+		}
+		timer := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+		case <-switched:
+		case <-timer.C:
 			n.selector.home()
-			homeAt = now.Add(homeAfter/2 + rand.N(homeAfter))
 		}
+		timer.Stop()
 	}
 	return nil
 }
