--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	d := &Daemon{settings: s, logger: logger, registry: prometheus.NewRegistry()}
 	if s.FaultInjection {
 		d.faults = netfault.Enable()
+		d.faults.Cut(s.FaultCuts)
 	}
 	if s.IsControl() {
 		if err := d.openControl(); err != nil {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -25,6 +25,8 @@
 	manifest Manifest
 	// expected holds the PIDs whose end is no failure.
 	expected map[int]bool
+	// cuts holds the addresses that each process is cut off from, by its name.
+	cuts map[string][]string
 }
 
 // New prepares a deployment. Dir gets its data, logs and manifest; binDir holds the programs.
@@ -49,6 +51,7 @@
 		launcher: newLauncher(filepath.Join(dir, "logs")),
 		manifest: Manifest{Routes: layout.Routes()},
 		expected: map[int]bool{},
+		cuts:     map[string][]string{},
 	}, nil
 }
 
--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -69,8 +71,24 @@
 	return errors.Wrapf(syscall.Kill(process.PID, syscall.SIGCONT), "thaw %s", process.name())
 }
 
-// StartAgain starts a process that has ended, with the same command line, and returns it with its new PID.
+// envCuts holds the addresses that a process is cut off from at its start.
+const envCuts = "SAMPHIREFLOW_FAULT_INJECTION_CUTS"
+
+// StartAgain starts a process that has ended, with the same command line, and returns it with its new PID. What it
+// was cut off from, it is cut off from still.
 func (d *Deployment) StartAgain(process Process) (Process, error) {
+	d.mu.Lock()
+	cuts := d.cuts[process.name()]
+	d.mu.Unlock()
+	env := maps.Clone(process.Env)
+	delete(env, envCuts)
+	if env == nil {
+		env = map[string]string{}
+	}
+	if len(cuts) > 0 {
+		env[envCuts] = strings.Join(cuts, ",")
+	}
+	process.Env = env
 	if err := d.launcher.start(&process); err != nil {
 		return process, err
 	}
@@ -93,7 +111,8 @@
 	return errors.Wrap(os.MkdirAll(folder, 0o755), "blank a disk")
 }
 
-// Cut replaces the processes that one process of the system cannot send to. A cut is silent.
+// Cut replaces the processes that one process of the system cannot send to, from its next start on when it does not
+// run. A cut is silent.
 func (d *Deployment) Cut(ctx context.Context, from Process, to ...Process) error {
 	wanted := struct {
 		Addresses []string `json:"addresses"`
@@ -105,6 +124,9 @@
 			}
 		}
 	}
+	d.mu.Lock()
+	d.cuts[from.name()] = wanted.Addresses
+	d.mu.Unlock()
 	body, err := json.Marshal(wanted)
 	if err != nil {
 		return errors.WithStack(err)
@@ -114,6 +136,9 @@
 		return errors.WithStack(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if !from.running() {
+		return nil
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return errors.Wrapf(err, "cut %s", from.name())
@@ -134,7 +159,7 @@
 	}
 	processes := d.Processes()
 	for _, from := range processes {
-		if from.Role == RoleBackendServer || !from.running() {
+		if from.Role == RoleBackendServer {
 			continue
 		}
 		if err := d.Cut(ctx, from, across(processes, inside, inside[from.FailureDomain])...); err != nil {
--- a/internal/node/floor.go
+++ b/internal/node/floor.go
@@ -40,7 +40,7 @@
 				return
 			}
 			round.add(response, n.isControl(client.Addr))
-			if _, known := round.floor(); known {
+			if round.settled() {
 				cancel()
 			}
 		})
--- a/internal/node/floor_round.go
+++ b/internal/node/floor_round.go
@@ -58,13 +58,25 @@
 	return r.latest
 }
 
-// floor returns the newest version that may have been handed down, and whether it is known.
+// floor returns a version that is not below any that may have been handed down, and whether it is known. Where both
+// ways lead to one, the lower holds: the relays of a failure domain that is cut off may never get to the higher.
 func (r *floorRound) floor() (uint64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.readKnown {
-		return max(r.read, r.top), true
+	if r.majorityHeard() {
+		return r.top, true
 	}
+	return max(r.read, r.top), r.readKnown
+}
+
+// settled reports whether more answers would not change the floor.
+func (r *floorRound) settled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.majorityHeard() || (r.readKnown && len(r.latest.GetNodes()) == 0)
+}
+
+func (r *floorRound) majorityHeard() bool {
 	nodes := r.relays.GetNodes()
 	count := 0
 	for _, node := range nodes {
@@ -72,5 +84,5 @@
 			count++
 		}
 	}
-	return r.top, len(nodes) > 0 && count >= distribution.Quorum(len(nodes))
+	return len(nodes) > 0 && count >= distribution.Quorum(len(nodes))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,8 @@
 	TraceSample float64 `validate:"gte=0,lte=1" flag:"trace-sample"`
 	// FaultInjection lets tests cut this process off from addresses through its admin address.
 	FaultInjection bool
+	// FaultCuts lists the addresses that the process is cut off from at its start.
+	FaultCuts []string `validate:"dive,ipport" flag:"fault-injection-cuts"`
 	// Check asks to check the settings and exit.
 	Check bool
 }
@@ -73,6 +75,7 @@
 	s.ControlPeers, faults = parsePeers(*lists.peers)
 	s.Seeds = parseList(*lists.seeds)
 	s.Services = parseList(*lists.services)
+	s.FaultCuts = parseList(*lists.cuts)
 	return s, s.validate(faults)
 }
 
@@ -81,6 +84,7 @@
 	peers    *string
 	seeds    *string
 	services *string
+	cuts     *string
 }
 
 func (s *Settings) define(flags *flag.FlagSet) listFlags {
@@ -103,6 +107,7 @@
 		peers:    flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
 		seeds:    flags.String("seeds", "", "control addresses, IP:port, of some nodes of the own failure domain, separated by commas (node)"),
 		services: flags.String("services", "", "services that the callers of this node call, separated by commas; empty for all (node)"),
+		cuts:     flags.String("fault-injection-cuts", "", "addresses, IP:port, that the process is cut off from at its start, separated by commas"),
 	}
 }
 
