--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
 	"golang.org/x/time/rate"
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
+	"samphireflow/internal/move/local"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/routing"
 )
@@ -34,6 +34,8 @@
 
 	// table is what the proxy routes by; it is replaced whole.
 	table atomic.Pointer[routing.Table]
+	// guarded limits the shares in table by the node's own evidence.
+	guarded guarded
 	// status is what operators see of the applied configuration.
 	status atomic.Pointer[Status]
 
@@ -70,6 +72,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		client:      distribution.NewHTTPClient(),
 		outcomes:    outcome.NewSum(options.FailureDomain),
+		guarded:     guarded{guard: local.NewGuard()},
 		renewNow:    make(chan struct{}, 1),
 		applier:     applier{failureDomain: options.FailureDomain},
 		directory:   member.NewDirectory(),
@@ -118,7 +121,7 @@
 
 // Table returns the routing table in force, nil before the first one.
 func (n *Node) Table() *routing.Table {
-	return n.table.Load()
+	return n.guarded.limit(n.table.Load())
 }
 
 // Status returns the applied configuration.
@@ -127,8 +130,8 @@
 }
 
 // Recorder returns where the proxy counts outcomes.
-func (n *Node) Recorder() *outcome.Sum {
-	return n.outcomes
+func (n *Node) Recorder() *Recorder {
+	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
 }
 
 // Ready reports whether the node has a configuration to serve by.
@@ -141,8 +144,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.relay.Run(ctx) })
 	group.Go(func() error { return n.watchLoop(ctx) })
+	group.Go(func() error { return n.homeLoop(ctx) })
 	group.Go(func() error { return n.renewLoop(ctx) })
 	group.Go(func() error { return n.reportLoop(ctx) })
+	group.Go(func() error { return n.guardLoop(ctx) })
 	return group.Wait()
 }
 
