--- a/cmd/backendserver/main.go
+++ b/cmd/backendserver/main.go
@@ -43,7 +43,9 @@
 func run(cfg backendserver.Config, log zerolog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	endTraces, err := tracing.Setup(ctx, cfg.TraceOptions())
+	endTraces, err := tracing.Setup(ctx, cfg.TraceOptions(func(err error) {
+		log.Warn().Err(err).Msg("traces are not exported")
+	}))
 	if err != nil {
 		return err
 	}
--- a/cmd/samphireflowd/main.go
+++ b/cmd/samphireflowd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -50,9 +51,11 @@
 
 func serve(s *settings.Settings) int {
 	logger := newLogger(s)
+	log.SetFlags(0)
+	log.SetOutput(standardLog{logger})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	endTraces, err := tracing.Setup(ctx, traceOptions(s))
+	endTraces, err := tracing.Setup(ctx, traceOptions(s, logger))
 	if err != nil {
 		logger.Error().Err(err).Msg("start failed")
 		return exitFailed
@@ -74,7 +77,7 @@
 	return exitOK
 }
 
-func traceOptions(s *settings.Settings) tracing.Options {
+func traceOptions(s *settings.Settings, logger zerolog.Logger) tracing.Options {
 	return tracing.Options{
 		Exporter:      tracing.Exporter(s.TraceExporter),
 		Target:        s.TraceTarget,
@@ -82,6 +85,7 @@
 		Role:          string(s.Role),
 		Instance:      s.Instance,
 		FailureDomain: s.FailureDomain,
+		OnError:       func(err error) { logger.Warn().Err(err).Msg("traces are not exported") },
 	}
 }
 
--- a/internal/backendserver/config.go
+++ b/internal/backendserver/config.go
@@ -118,8 +118,8 @@
 	return "--" + fault.Field() + ": " + quote(fault.Value()) + " breaks the rule: " + rule
 }
 
-// TraceOptions returns the settings of the traces.
-func (c *Config) TraceOptions() tracing.Options {
+// TraceOptions returns the settings of the traces, whose errors go to the function.
+func (c *Config) TraceOptions(onError func(error)) tracing.Options {
 	return tracing.Options{
 		Exporter:      tracing.Exporter(c.TraceExporter),
 		Target:        c.TraceTarget,
@@ -127,5 +127,6 @@
 		Role:          role,
 		Instance:      c.Instance,
 		FailureDomain: c.FailureDomain,
+		OnError:       onError,
 	}
 }
--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -25,6 +25,12 @@
 	d.planner.traceDir = dir
 }
 
+// LogNames lists the files with the logs of the processes.
+func (d *Deployment) LogNames() ([]string, error) {
+	names, err := filepath.Glob(filepath.Join(d.launcher.logDir, "*.log"))
+	return names, errors.Wrap(err, "list the logs")
+}
+
 // CLI runs the command-line tool against the control instances and returns its standard output.
 func (d *Deployment) CLI(ctx context.Context, args ...string) (string, error) {
 	return d.cli.run(ctx, args...)
--- a/internal/tracing/options.go
+++ b/internal/tracing/options.go
@@ -24,4 +24,12 @@
 	Role          string
 	Instance      string
 	FailureDomain string
+	// OnError gets the errors of the exporter; nil drops them.
+	OnError func(error)
+}
+
+func (o Options) report(err error) {
+	if o.OnError != nil {
+		o.OnError(err)
+	}
 }
--- a/internal/tracing/setup.go
+++ b/internal/tracing/setup.go
@@ -50,6 +50,7 @@
 		sdktrace.WithResource(describe(options)),
 	)
 	otel.SetTracerProvider(provider)
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(options.report))
 	otel.SetTextMapPropagator(propagation.NewCompositeTextMapPropagator(propagation.TraceContext{}, propagation.Baggage{}))
 	enabled.Store(true)
 	return func() error {
--- a/test/shell/admin_test.go
+++ b/test/shell/admin_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,7 +19,7 @@
 		require.Contains(t, get(t, base+"/readyz"), "ready")
 		require.Contains(t, get(t, base+"/metrics"), "process_cpu_seconds_total")
 		// The control group makes versions of its own when it assigns relays, so that the newest one may change.
-		require.Eventually(t, func() bool { return appliedVersion(t, base) == s.acceptedVersion(t) }, startTimeout, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return appliedVersion(t, base) == s.acceptedVersion(t) }, startTimeout, pollInterval)
 	}
 }
 
--- a/test/shell/small_test.go
+++ b/test/shell/small_test.go
@@ -18,6 +18,8 @@
 const (
 	// startTimeout bounds the start of a small deployment.
 	startTimeout = 60 * time.Second
+	// pollInterval is the time between two looks at something that is waited for.
+	pollInterval = 10 * time.Millisecond
 	// slots and queue are what the stand-in of a small deployment can hold.
 	slots = 1
 	queue = 10
@@ -108,7 +110,7 @@
 		}
 		text := get(t, "http://"+s.server.AdminAddr+"/load")
 		return json.Unmarshal([]byte(text), &report) == nil && report.InFlight == calls
-	}, startTimeout, 10*time.Millisecond)
+	}, startTimeout, pollInterval)
 }
 
 // call sends a request to the node and returns the response with its body.
@@ -137,6 +139,16 @@
 	return string(text)
 }
 
+// ready reports whether the process with the admin address can serve.
+func ready(adminAddr string) bool {
+	response, err := http.Get("http://" + adminAddr + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // deadAddr returns an address on which nothing listens.
 func deadAddr(t *testing.T) string {
 	t.Helper()
--- a/test/shell/up_test.go
+++ b/test/shell/up_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -88,7 +87,7 @@
 		}
 	}
 	require.NoError(t, syscall.Kill(node.PID, syscall.SIGKILL))
-	require.Eventually(t, func() bool { return !alive(node.PID) }, startTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !alive(node.PID) }, startTimeout, pollInterval)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, node.Argv[0], node.Argv[1:]...)
@@ -98,14 +97,7 @@
 	}
 	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGTERM) }
 	require.NoError(t, cmd.Start())
-	require.Eventually(t, func() bool {
-		response, err := http.Get("http://" + node.AdminAddr + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, startTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return ready(node.AdminAddr) }, startTimeout, pollInterval)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, cmd.Wait())
 }
