Take the old version's share of slow calls from its distribution; look once at the last call

In trials at night some good moves ended for want of evidence though no call had failed. Two causes: the running share of slow calls belonged to the bucket that was the threshold before, so that a median at the border of two buckets made the new version look slow; and blocks that waited for further calls of the old version were left out of the last look. The share now comes from the old version's distribution at the present threshold, and the last call counts what waits.

--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -113,6 +113,9 @@
 	if obstacle := d.obstacle(); obstacle != "" {
 		return d.step(apiv1.MoveState_MOVE_STATE_EXPIRED, 0, "not whole by the deadline: "+obstacle)
 	}
+	if !d.judge.clearing.failing() {
+		d.judge.clearing.count(0)
+	}
 	missing := d.uncleared()
 	if missing == "" || d.clearedOnce() {
 		return d.forward(testStages, d.evidence())
--- a/internal/move/histogram.go
+++ b/internal/move/histogram.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// shareAbove returns the share of calls in buckets above the given one, never quite 0.
+func (h *histogram) shareAbove(bucket int) float64 {
+	const priorSlow, priorCalls = 0.1, 20
+	slow := 0.0
+	for i := max(bucket+1, 0); i < bucketCount; i++ {
+		slow += h.buckets[i]
+	}
+	return (slow + priorSlow) / (h.total + priorCalls)
+}
+
 // quantile returns the bucket that holds the quantile, from 0 to 1; -1 without calls.
 func (h *histogram) quantile(q float64) int {
 	if h.total == 0 {
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -221,7 +221,7 @@
 		j.compareErrors(r, &pending)
 	}
 	if median, tail, ok := r.thresholds(j.ratioBuckets); ok && r.timed {
-		j.judgeDurations(r, slowBlock(&pending, median), slowBlock(&pending, tail))
+		j.judgeDurations(r, &pending, median, tail)
 	}
 	if !j.whole {
 		r.durations.add(pending[OldVersion])
@@ -236,9 +236,8 @@
 func (j *Judge) compareErrors(r *record, pending *[2]Counts) {
 	block := errorBlock(pending)
 	before := r.oldErrors.Mean()
-	j.compared.errors.Observe(block, before)
-	if r.own != nil {
-		r.own.errors.Observe(block, before)
+	for _, s := range suitesOf(j.compared, r.own) {
+		s.errors.Observe(block, before)
 	}
 	r.oldErrors.Add(block.OldCalls, block.OldBad)
 	r.oldCalls += block.OldCalls
@@ -250,40 +249,36 @@
 	calls, bad := errorCounts(&pending[NewVersion])
 	calls, bad = calls+pending[NewVersion].Broken, bad+pending[NewVersion].Broken
 	against := r.oldErrors.Mean() + j.errorMargin/2
-	j.watched.errors.ObserveAgainst(calls, bad, against)
-	if r.watch != nil {
-		r.watch.errors.ObserveAgainst(calls, bad, against)
+	for _, s := range suitesOf(j.watched, r.watch) {
+		s.errors.ObserveAgainst(calls, bad, against)
 	}
 }
 
-func (j *Judge) judgeDurations(r *record, median, tail sequential.Block) {
+// judgeDurations compares the calls above two buckets: one for the median of all calls, one for the slow tail.
+func (j *Judge) judgeDurations(r *record, pending *[2]Counts, medianBucket, tailBucket int) {
+	median, tail := slowBlock(pending, medianBucket), slowBlock(pending, tailBucket)
+	slow, slowTail := r.durations.shareAbove(medianBucket), r.durations.shareAbove(tailBucket)
 	if j.whole {
-		j.watchDurations(r, median, tail)
+		slow, slowTail = slow+medianRises[0]/2, slowTail+tailRises[0]/2
+		for _, s := range suitesOf(j.watched, r.watch) {
+			s.median.ObserveAgainst(median.NewCalls, median.NewBad, slow)
+			s.tail.ObserveAgainst(tail.NewCalls, tail.NewBad, slowTail)
+		}
 		return
 	}
-	slow, slowTail := r.oldSlow.Mean(), r.oldTail.Mean()
-	j.compared.median.Observe(median, slow)
-	j.compared.tail.Observe(tail, slowTail)
-	if r.own != nil {
-		r.own.median.Observe(median, slow)
-		r.own.tail.Observe(tail, slowTail)
+	for _, s := range suitesOf(j.compared, r.own) {
+		s.median.Observe(median, slow)
+		s.tail.Observe(tail, slowTail)
 	}
-	r.oldSlow.Add(median.OldCalls, median.OldBad)
-	r.oldTail.Add(tail.OldCalls, tail.OldBad)
-	j.clearing.observeSlow(median.NewCalls, median.NewBad, r.oldSlow.Mean())
+	j.clearing.observeSlow(median.NewCalls, median.NewBad, slow)
 }
 
-func (j *Judge) watchDurations(r *record, median, tail sequential.Block) {
-	slow := r.oldSlow.Mean() + medianRises[0]/2
-	slowTail := r.oldTail.Mean() + tailRises[0]/2
-	suites := []*suite{j.watched}
-	if r.watch != nil {
-		suites = append(suites, r.watch)
-	}
-	for _, s := range suites {
-		s.median.ObserveAgainst(median.NewCalls, median.NewBad, slow)
-		s.tail.ObserveAgainst(tail.NewCalls, tail.NewBad, slowTail)
+// suitesOf lists the suite of all routes and that of one route, which may be nil.
+func suitesOf(all, own *suite) []*suite {
+	if own == nil {
+		return []*suite{all}
 	}
+	return []*suite{all, own}
 }
 
 // finding is evidence against the new version, as a logarithm, with its main part in words.
--- a/internal/move/record.go
+++ b/internal/move/record.go
@@ -19,10 +19,8 @@
 	// timed says that the open block's durations are judged.
 	timed bool
 
-	// oldErrors, oldSlow and oldTail are the running rates of the old version.
+	// oldErrors is the running error rate of the old version, durations its running distribution of durations.
 	oldErrors *sequential.Rate
-	oldSlow   *sequential.Rate
-	oldTail   *sequential.Rate
 	durations histogram
 	// cleared is the evidence that the route by itself is not worse.
 	cleared  *sequential.Clearance
@@ -33,8 +31,6 @@
 	return &record{
 		name:      name,
 		oldErrors: sequential.NewRate(rateMemory),
-		oldSlow:   sequential.NewRate(rateMemory),
-		oldTail:   sequential.NewRate(rateMemory),
 		cleared:   sequential.NewClearance(max(routeMargin, errorMargin)),
 	}
 }
