--- a/internal/backendserver/announcer.go
+++ b/internal/backendserver/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,8 @@
 const (
 	// heartbeatInterval is the time between two announcements.
 	heartbeatInterval = time.Second
+	// announceRetry is the time after which a failed announcement is repeated.
+	announceRetry = 100 * time.Millisecond
 	// announceTimeout bounds one announcement.
 	announceTimeout = time.Second
 )
@@ -24,11 +27,14 @@
 	describe func() *apiv1.BackendServer
 	changed  chan struct{}
 	log      zerolog.Logger
+
+	// mu keeps announcements in order, so that an old state does not arrive after a new one.
+	mu sync.Mutex
 }
 
 func newAnnouncer(nodeControlAddr string, describe func() *apiv1.BackendServer, log zerolog.Logger) *announcer {
 	return &announcer{
-		client:   apiv1.NewMembershipProtobufClient("http://"+nodeControlAddr, &http.Client{Timeout: announceTimeout}),
+		client:   apiv1.NewMembershipProtobufClient("http://"+nodeControlAddr, &http.Client{}),
 		describe: describe,
 		changed:  make(chan struct{}, 1),
 		log:      log,
@@ -45,25 +51,42 @@
 
 // run announces until the context ends.
 func (a *announcer) run(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
 	failing := false
 	for {
-		err := a.announce(ctx)
+		err := a.announce()
 		if err != nil && !failing && ctx.Err() == nil {
 			a.log.Warn().Err(err).Msg("the node does not take the announcement")
 		}
 		failing = err != nil
-		select {
-		case <-ctx.Done():
+		if !a.pause(ctx, failing) {
 			return
-		case <-a.changed:
-		case <-ticker.C:
 		}
 	}
 }
 
-func (a *announcer) announce(ctx context.Context) error {
+// pause waits until the next announcement is due. It returns false when the context ends.
+func (a *announcer) pause(ctx context.Context, failing bool) bool {
+	interval := heartbeatInterval
+	if failing {
+		interval = announceRetry
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// announce tells the present state. It is not cut short, since the node could take it later than the next one.
+func (a *announcer) announce() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
 	_, err := a.client.Announce(ctx, &apiv1.AnnounceRequest{Server: a.describe()})
 	return errors.Wrap(err, "announce")
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,8 @@
 			ControlAddr:   s.ControlAddr,
 			AdminAddr:     s.AdminAddr,
 			Control:       s.ControlAddrs(),
+			Seeds:         s.Seeds,
+			Services:      s.Services,
 			Logger:        logger.With().Str("role", "node").Logger(),
 		})
 	}
@@ -110,10 +112,11 @@
 	})
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(ctx) })
+		group.Go(func() error { return d.watchStorage(ctx) })
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(ctx) })
-		handler := tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder()))
+		handler := limitHeader(tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder())))
 		group.Go(func() error { return serve(ctx, "caller", d.settings.CallerAddr, handler) })
 	}
 	d.logger.Info().Str("addr", d.settings.ControlAddr).Msg("started")
@@ -127,6 +130,16 @@
 	return err
 }
 
+// watchStorage ends the process when its data folder has failed: what the disk holds is not known any more.
+func (d *Daemon) watchStorage(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.replica.Done():
+		return replica.ErrStopped
+	}
+}
+
 // controlHandler serves the twirp services of all roles of the process.
 func (d *Daemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -140,8 +153,7 @@
 		mux.Handle(inspect.PathPrefix(), inspect)
 	}
 	if d.node != nil && d.control == nil {
-		membership := apiv1.NewMembershipServer(d.node)
-		mux.Handle(membership.PathPrefix(), membership)
+		d.node.Register(mux)
 	}
 	return mux
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireflow/internal/distribution"
 )
 
 const (
@@ -15,7 +17,7 @@
 	// readHeaderTimeout bounds the time in which the header of a request must arrive.
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes is the largest header of a request.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 1 << 20
 )
 
 // serve serves one address until the context ends, then lets the requests in flight end.
@@ -25,6 +27,7 @@
 		return errors.Wrapf(err, "listen on %s address", name)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server.Protocols = distribution.ServerProtocols()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -20,6 +20,11 @@
 	d.planner.faultInjection = true
 }
 
+// WriteTraces makes the processes that are started from now on write the spans of sampled callers to files in dir.
+func (d *Deployment) WriteTraces(dir string) {
+	d.planner.traceDir = dir
+}
+
 // CLI runs the command-line tool against the control instances and returns its standard output.
 func (d *Deployment) CLI(ctx context.Context, args ...string) (string, error) {
 	return d.cli.run(ctx, args...)
@@ -170,3 +175,8 @@
 	}
 	return shown.Version, nil
 }
+
+// CLIAt runs the command-line tool against one control instance only and returns its standard output.
+func (d *Deployment) CLIAt(ctx context.Context, control Process, args ...string) (string, error) {
+	return newCLI(d.planner.binDir, []Process{control}).run(ctx, args...)
+}
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -21,6 +21,49 @@
 	controlPeers string
 	// faultInjection starts daemons that can be cut off.
 	faultInjection bool
+	// traceDir gets a file with the spans of each process; empty for none.
+	traceDir string
+	// seeds holds the reserved control addresses of each failure domain, and planned the number of its nodes.
+	seeds   map[string][]string
+	planned map[string]int
+}
+
+// seedCount is the number of nodes of each failure domain that the others know from their settings.
+const seedCount = 3
+
+// planSeeds reserves the control addresses of the first nodes of each failure domain.
+func (p *planner) planSeeds() error {
+	p.seeds = map[string][]string{}
+	p.planned = map[string]int{}
+	for _, service := range p.layout.Services {
+		for _, domain := range service.Servers {
+			if len(p.seeds[domain]) == seedCount {
+				continue
+			}
+			var addr string
+			if err := p.address(&addr); err != nil {
+				return err
+			}
+			p.seeds[domain] = append(p.seeds[domain], addr)
+		}
+	}
+	return nil
+}
+
+// nodeAddress sets the control address of the next node of a failure domain: a reserved one while there are any.
+func (p *planner) nodeAddress(node *Process) error {
+	if p.seeds == nil {
+		if err := p.planSeeds(); err != nil {
+			return err
+		}
+	}
+	number := p.planned[node.FailureDomain]
+	p.planned[node.FailureDomain]++
+	if seeds := p.seeds[node.FailureDomain]; number < len(seeds) {
+		node.ControlAddr = seeds[number]
+		return nil
+	}
+	return p.address(&node.ControlAddr)
 }
 
 // controls plans the control instances.
@@ -28,7 +71,9 @@
 	list := make([]Process, 0, len(p.layout.ControlDomains))
 	peers := make([]string, 0, len(p.layout.ControlDomains))
 	for i, domain := range p.layout.ControlDomains {
-		process := Process{Role: RoleControl, Instance: fmt.Sprintf("control-%d", i+1), FailureDomain: domain}
+		process := Process{
+			Role: RoleControl, Instance: fmt.Sprintf("control-%d", i+1), FailureDomain: domain, Env: map[string]string{},
+		}
 		if err := p.address(&process.ControlAddr, &process.AdminAddr); err != nil {
 			return nil, err
 		}
@@ -59,12 +104,20 @@
 // pair plans a node and the backend server beside it.
 func (p *planner) pair(service, version, domain string, number int) ([]Process, error) {
 	instance := instanceName(domain, service, number)
-	node := Process{Role: RoleNode, Instance: instance, FailureDomain: domain, Service: service}
-	if err := p.address(&node.CallerAddr, &node.ControlAddr, &node.AdminAddr); err != nil {
+	node := Process{
+		Role: RoleNode, Instance: instance, FailureDomain: domain, Service: service, Env: map[string]string{},
+	}
+	if err := p.nodeAddress(&node); err != nil {
+		return nil, err
+	}
+	if err := p.address(&node.CallerAddr, &node.AdminAddr); err != nil {
 		return nil, err
 	}
-	node.Argv = p.daemonArgv(&node, "--caller-addr", node.CallerAddr)
-	server := Process{Role: RoleBackendServer, Instance: instance, FailureDomain: domain, Service: service, Version: version}
+	node.Argv = p.daemonArgv(&node, "--caller-addr", node.CallerAddr, "--seeds", strings.Join(p.seeds[domain], ","))
+	server := Process{
+		Role: RoleBackendServer, Instance: instance, FailureDomain: domain, Service: service, Version: version,
+		Env: map[string]string{},
+	}
 	if err := p.address(&server.CallerAddr, &server.AdminAddr); err != nil {
 		return nil, err
 	}
@@ -98,11 +151,20 @@
 	if p.faultInjection {
 		argv = append(argv, "--fault-injection")
 	}
+	argv = append(argv, p.traceFlags(process)...)
 	return append(argv, more...)
 }
 
+// traceFlags makes a process write its spans to a file of its own.
+func (p *planner) traceFlags(process *Process) []string {
+	if p.traceDir == "" {
+		return nil
+	}
+	return []string{"--trace-exporter", "file", "--trace-target", filepath.Join(p.traceDir, process.name()+".jsonl")}
+}
+
 func (p *planner) serverArgv(process *Process, nodeControlAddr string) []string {
-	return []string{
+	argv := []string{
 		filepath.Join(p.binDir, "backendserver"),
 		"--instance", process.Instance,
 		"--failure-domain", process.FailureDomain,
@@ -114,7 +176,9 @@
 		"--slots", strconv.Itoa(p.layout.Slots),
 		"--connections", strconv.Itoa(p.layout.Connections),
 		"--probe-cost", p.layout.ProbeCost.String(),
+		"--drain-linger", p.layout.DrainLinger.String(),
 		"--executions", filepath.Join(p.dir, "executions", process.Instance+".jsonl"),
 		"--crash-marker", CrashMarker,
 	}
+	return append(argv, p.traceFlags(process)...)
 }
