Measure in the demo when a new version is whole, apart from the end of its watch

Cause: the line says that a version takes over by its deadline, but waited for the end of the watch after it, which a move that is whole just in time passes only after the deadline.

--- a/internal/deployment/demo_moves.go
+++ b/internal/deployment/demo_moves.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/state"
 )
 
 const (
@@ -13,6 +16,8 @@
 	moveDeadline = 30 * time.Second
 	// moveWatch is the time for which a whole move is still judged.
 	moveWatch = 3 * time.Second
+	// moveEndGrace is the time in which the end of a watched move must be recorded.
+	moveEndGrace = 5 * time.Second
 
 	goodVersion = "v2"
 	badVersion  = "v3-bad"
@@ -34,13 +39,33 @@
 	if err := d.killSome(ctx); err != nil {
 		return "", err
 	}
-	ctx, cancel := context.WithTimeout(ctx, moveDeadline+moveWatch)
+	if err := d.awaitWhole(ctx, service.Name, goodVersion); err != nil {
+		return "", err
+	}
+	whole := time.Since(started)
+	ctx, cancel := context.WithTimeout(ctx, moveWatch+moveEndGrace)
 	defer cancel()
-	move, err := d.cli.awaitMove(ctx, service.Name, goodVersion, apiv1.MoveState_MOVE_STATE_DONE)
-	if err != nil {
+	if _, err := d.cli.awaitMove(ctx, service.Name, goodVersion, apiv1.MoveState_MOVE_STATE_DONE); err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%s done %s after its start (deadline %s)", move.Service, seconds(time.Since(started)), seconds(moveDeadline)), nil
+	return fmt.Sprintf("%s whole after %s (deadline %s), done after %s",
+		service.Name, seconds(whole), seconds(moveDeadline), seconds(time.Since(started))), nil
+}
+
+// awaitWhole waits until a version has all calls of its service, at most until the deadline of the move.
+func (d *demo) awaitWhole(ctx context.Context, service, version string) error {
+	ctx, cancel := context.WithTimeout(ctx, moveDeadline)
+	defer cancel()
+	return poll(ctx, "all calls of "+service+" to go to "+version, func(ctx context.Context) error {
+		move, err := d.cli.currentMove(ctx, service, version)
+		if err != nil {
+			return err
+		}
+		if move.ShareBp != state.FullShare {
+			return errors.Errorf("it is %s at %d basis points: %s", move.State, move.ShareBp, move.Reason)
+		}
+		return nil
+	})
 }
 
 // startVersion starts backend servers of a version and waits until they are ready.
