Carry calls over granted connections, claim keyed calls, refuse crashing requests

Cause: the thin proxy sent every call straight to any backend server. Nothing bounded the connections of all nodes together, a resent booking ran twice, and a request could crash one backend server after the other.

Change: - balance: power of two choices on own calls in flight and decaying reported load, own failure domain first with measured spill, slow start, ejection of outliers with a floor. - limit: adaptive concurrency, bounded queue with shares of callers, retry budget, floor of durations for early refusal, rates of resources, and the ledger of granted connections. - proxy: one hop over a granted connection, two hops through the node beside the backend server (gate) without one. The gate holds its calls to the slots and refuses all once its backend server leaves. An attempt is told not-run only when no byte was handed to its connection, or when it was refused before it ran. The transport cannot repeat a request by itself. - claim: keyed calls take a claim from a majority of the agreed claim holders of the key's home failure domain; blank holders abstain until they have read enough of the others. - suspect: a request in flight at two deaths is refused in all nodes. - node, daemon: drain on the platform's word, at the node's own stop and on the backend server's report; callers' calls end before the rest stops. - assign: a set records the incarnation and epoch of each node and the failure domains that keys are spread over. The list is fixed with the first sets.

Ruled out: one quota for each node and backend server (920 nodes leave less than one connection each), hashing nodes to backend servers (the bound then depends on what nodes know of each other).

--- a/api/v1/replication.twirp.go
+++ b/api/v1/replication.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *replicationServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *replicationServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Replication")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 794 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x55, 0xdf, 0x6f, 0xe3, 0x44,
 	0x10, 0xc6, 0xf9, 0x9d, 0x71, 0xae, 0xf8, 0x96, 0xbb, 0xde, 0xf6, 0x17, 0x17, 0xc2, 0x4b, 0x74,
--- a/internal/assign/planner.go
+++ b/internal/assign/planner.go
@@ -50,17 +50,31 @@
 	if now.Sub(p.started) < settleTime {
 		return nil
 	}
+	homes := homeDomains(current, sortedKeys(byDomain))
 	var changes []*apiv1.Assignment
 	for _, domain := range sortedKeys(byDomain) {
 		for _, role := range roles {
-			if change := p.planSet(find(current, domain, role), byDomain[domain], domain, role, now); change != nil {
-				changes = append(changes, change)
+			change := p.planSet(find(current, domain, role), byDomain[domain], domain, role, now)
+			if change == nil {
+				continue
 			}
+			change.HomeDomains = homes
+			changes = append(changes, change)
 		}
 	}
 	return changes
 }
 
+// homeDomains returns the list that the first sets were founded with, or the live failure domains before that.
+func homeDomains(current []*apiv1.Assignment, live []string) []string {
+	for _, assignment := range current {
+		if len(assignment.HomeDomains) > 0 {
+			return assignment.HomeDomains
+		}
+	}
+	return live
+}
+
 func (p *Planner) planSet(current *apiv1.Assignment, live []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole, now time.Time) *apiv1.Assignment {
 	ranked := rank(live, domain, role)
 	if current == nil {
@@ -88,7 +102,7 @@
 func found(ranked []*apiv1.NodeInfo, domain string, role apiv1.AssignmentRole) *apiv1.Assignment {
 	first := &apiv1.Assignment{FailureDomain: domain, Role: role, Epoch: 1}
 	for _, node := range ranked[:wantedSize(len(ranked))] {
-		first.Nodes = append(first.Nodes, assigned(node))
+		first.Nodes = append(first.Nodes, assigned(node, first.Epoch))
 	}
 	return first
 }
@@ -106,7 +120,7 @@
 
 func (p *Planner) grow(next *apiv1.Assignment, ranked []*apiv1.NodeInfo) *apiv1.Assignment {
 	if node := firstOutside(next, ranked); node != nil {
-		next.Nodes = append(next.Nodes, assigned(node))
+		next.Nodes = append(next.Nodes, assigned(node, next.Epoch))
 		return next
 	}
 	return nil
@@ -121,7 +135,7 @@
 		if substitute == nil {
 			return nil
 		}
-		next.Nodes[i] = assigned(substitute)
+		next.Nodes[i] = assigned(substitute, next.Epoch)
 		return next
 	}
 	return nil
@@ -134,8 +148,13 @@
 	return p.started
 }
 
-func assigned(node *apiv1.NodeInfo) *apiv1.AssignedNode {
-	return &apiv1.AssignedNode{Instance: node.Instance, ControlAddr: node.ControlAddr}
+func assigned(node *apiv1.NodeInfo, epoch uint64) *apiv1.AssignedNode {
+	return &apiv1.AssignedNode{
+		Instance:    node.Instance,
+		ControlAddr: node.ControlAddr,
+		Incarnation: node.Incarnation,
+		SinceEpoch:  epoch,
+	}
 }
 
 func firstOutside(set *apiv1.Assignment, ranked []*apiv1.NodeInfo) *apiv1.NodeInfo {
--- /dev/null
+++ b/internal/claim/holder.go
@@ -0,0 +1,249 @@
+package claim
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+const (
+	// maxWait bounds the time for which a holder waits for a claim to change.
+	maxWait = 5 * time.Second
+	// pageLimit is the number of claims in one answer to a sync.
+	pageLimit = 2000
+	// syncInterval is the time between attempts to sync.
+	syncInterval = 250 * time.Millisecond
+	// syncTimeout bounds one attempt.
+	syncTimeout = 10 * time.Second
+)
+
+// Configuration is what a holder and a client read of the applied configuration.
+type Configuration struct {
+	Assignments []*apiv1.Assignment
+	// Retention is the longest retention of any route.
+	Retention time.Duration
+}
+
+// HolderOptions are what a holder is made of.
+type HolderOptions struct {
+	Instance      string
+	FailureDomain string
+	Incarnation   uint64
+	// Configuration returns the applied configuration.
+	Configuration func() Configuration
+	// Peer returns the client of the holder at a control address.
+	Peer   func(addr string) apiv1.Claims
+	Logger zerolog.Logger
+	Now    func() time.Time
+}
+
+// Holder answers for the claims of its failure domain while it is in the set of holders (twirp service Claims).
+type Holder struct {
+	options HolderOptions
+
+	mu    sync.Mutex
+	store *Store
+	seat  *Seat
+}
+
+// NewHolder returns a holder without memory.
+func NewHolder(options HolderOptions) *Holder {
+	return &Holder{
+		options: options,
+		store:   NewStore(),
+		seat:    NewSeat(options.Instance, options.Incarnation, options.Now()),
+	}
+}
+
+// HTTPPeer returns the client of holders over HTTP.
+func HTTPPeer(client *http.Client) func(addr string) apiv1.Claims {
+	return func(addr string) apiv1.Claims {
+		return apiv1.NewClaimsProtobufClient("http://"+addr, client)
+	}
+}
+
+// observe takes in the applied configuration; guarded by mu.
+func (h *Holder) observe(now time.Time) {
+	configuration := h.options.Configuration()
+	h.seat.Observe(holders(configuration.Assignments, h.options.FailureDomain), now)
+	h.seat.Outlasted(configuration.Retention, now)
+}
+
+// Claim decides on a claim, or waits for another attempt's to change.
+func (h *Holder) Claim(ctx context.Context, request *apiv1.ClaimRequest) (*apiv1.ClaimResponse, error) {
+	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		response, changed := h.claim(request)
+		if response.Status != apiv1.ClaimStatus_CLAIM_STATUS_TAKEN || changed == nil {
+			return response, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return response, nil
+		}
+	}
+}
+
+func (h *Holder) claim(request *apiv1.ClaimRequest) (*apiv1.ClaimResponse, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	h.observe(now)
+	if status, ok := h.seat.Check(request.FailureDomain, request.Epoch); !ok {
+		return &apiv1.ClaimResponse{Status: status}, nil
+	}
+	response := h.store.Claim(request, now)
+	if response.Status != apiv1.ClaimStatus_CLAIM_STATUS_TAKEN || request.WaitMs == 0 {
+		return response, nil
+	}
+	return response, h.store.Changed(request.Key)
+}
+
+// Finish records the outcome of an attempt.
+func (h *Holder) Finish(_ context.Context, request *apiv1.FinishRequest) (*apiv1.FinishResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &apiv1.FinishResponse{Recorded: h.store.Finish(request, h.options.Now())}, nil
+}
+
+// Sync lists the claims for another holder of the same epoch.
+func (h *Holder) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	h.observe(now)
+	if _, ok := h.seat.Check(request.FailureDomain, request.Epoch); !ok {
+		return &apiv1.SyncResponse{}, nil
+	}
+	limit := int(request.Limit)
+	if limit == 0 || limit > pageLimit {
+		limit = pageLimit
+	}
+	claims, more := h.store.Page(request.AfterKey, limit, now)
+	return &apiv1.SyncResponse{Synced: true, Claims: claims, More: more}, nil
+}
+
+// Run syncs whenever the holder lacks memory, until the context ends.
+func (h *Holder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			h.SyncOnce(ctx)
+		}
+	}
+}
+
+// SyncOnce reads the memory of the other holders if this one lacks its own. It reports whether the holder answers
+// for claims afterwards.
+func (h *Holder) SyncOnce(ctx context.Context) bool {
+	set := h.wanted()
+	if set == nil {
+		return h.Synced()
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	others := 0
+	var group errgroup.Group
+	for _, node := range set.Nodes {
+		if node.Instance == h.options.Instance {
+			continue
+		}
+		group.Go(func() error {
+			if err := h.read(ctx, set, node); err != nil {
+				h.options.Logger.Debug().Err(err).Str("peer", node.Instance).Msg("claims not read")
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			others++
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return h.finishSync(set, others)
+}
+
+func (h *Holder) wanted() *apiv1.Assignment {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	h.observe(now)
+	return h.seat.Wanted(now)
+}
+
+func (h *Holder) finishSync(set *apiv1.Assignment, others int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.observe(h.options.Now())
+	if !h.seat.Synced(set.Epoch, others) {
+		return false
+	}
+	h.options.Logger.Info().Uint64("epoch", set.Epoch).Int("claims", h.store.Len()).Msg("claims synced")
+	return true
+}
+
+// errAbstains is returned when a holder cannot share its memory.
+var errAbstains = errors.New("the holder abstains or is of another epoch")
+
+// read merges the memory of another holder.
+func (h *Holder) read(ctx context.Context, set *apiv1.Assignment, node *apiv1.AssignedNode) error {
+	client := h.options.Peer(node.ControlAddr)
+	request := &apiv1.SyncRequest{
+		FailureDomain: set.FailureDomain,
+		Epoch:         set.Epoch,
+		Instance:      h.options.Instance,
+		Limit:         pageLimit,
+	}
+	for {
+		response, err := client.Sync(ctx, request)
+		if err != nil {
+			return errors.Wrap(err, "sync")
+		}
+		if !response.Synced {
+			return errAbstains
+		}
+		h.merge(response.Claims)
+		if !response.More || len(response.Claims) == 0 {
+			return nil
+		}
+		request.AfterKey = response.Claims[len(response.Claims)-1].Key
+	}
+}
+
+func (h *Holder) merge(claims []*apiv1.Claim) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	for _, claim := range claims {
+		h.store.Merge(claim, now)
+	}
+}
+
+// Synced reports whether the holder answers for claims.
+func (h *Holder) Synced() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seat.member && h.seat.synced
+}
+
+// Size returns the number of claims in memory and the bytes that they count for.
+func (h *Holder) Size() (claims, bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.store.Len(), h.store.Bytes()
+}
--- /dev/null
+++ b/internal/claim/store.go
@@ -0,0 +1,236 @@
+package claim
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+const (
+	// maxStoreBytes bounds the memory of a store.
+	maxStoreBytes = 24 << 20
+	// maxRetention bounds the retention that a request may ask for.
+	maxRetention = 24 * time.Hour
+	// maxKeyBytes is the longest key, the name of the service included.
+	maxKeyBytes = 256
+	// maxDigestBytes is the longest digest.
+	maxDigestBytes = 32
+	// maxCallBytes is the longest answer that is kept.
+	maxCallBytes = 64 << 10
+)
+
+// Store is a holder's memory of claims. It is pure and belongs to its owner's lock.
+//
+// Invariant: a key has one record; an attempt is granted a key only if no other attempt holds its record.
+type Store struct {
+	records map[string]*record
+	lapses  lapseHeap
+	bytes   int
+	limit   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{records: map[string]*record{}, limit: maxStoreBytes}
+}
+
+// Claim decides on a claim or tells the state of a key.
+func (s *Store) Claim(request *apiv1.ClaimRequest, now time.Time) *apiv1.ClaimResponse {
+	if !validClaim(request) {
+		return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_INVALID}
+	}
+	s.lapse(now)
+	if known := s.records[request.Key]; known != nil {
+		return answerKnown(known, request)
+	}
+	if request.Watch {
+		return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_FREE}
+	}
+	added := &record{
+		key:      request.Key,
+		digest:   request.Digest,
+		attempt:  attemptOf(request.Attempt),
+		deadline: clampDeadline(request.DeadlineUnixMs, now),
+		expires:  now.Add(clampRetention(request.RetentionMs) + CallLimit),
+	}
+	if s.bytes+added.size() > s.limit {
+		return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_FULL}
+	}
+	s.add(added)
+	return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_GRANTED}
+}
+
+func validClaim(request *apiv1.ClaimRequest) bool {
+	return request.Key != "" && len(request.Key) <= maxKeyBytes && len(request.Digest) <= maxDigestBytes &&
+		request.Attempt.GetNode() != "" && len(request.Attempt.GetNode()) <= maxKeyBytes
+}
+
+func clampRetention(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxRetention.Milliseconds()))) * time.Millisecond
+}
+
+func clampDeadline(ms int64, now time.Time) int64 {
+	return min(ms, now.Add(CallLimit).UnixMilli())
+}
+
+func answerKnown(known *record, request *apiv1.ClaimRequest) *apiv1.ClaimResponse {
+	switch {
+	case !known.matches(request.Digest):
+		return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_MISMATCH}
+	case known.call != nil:
+		return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_FINISHED, Call: known.call}
+	case known.attempt == attemptOf(request.Attempt):
+		return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_GRANTED}
+	}
+	return &apiv1.ClaimResponse{Status: apiv1.ClaimStatus_CLAIM_STATUS_TAKEN, TakenDeadlineUnixMs: known.deadline}
+}
+
+// Finish records the outcome of an attempt. An attempt that finishes had the majority, so what another attempt holds
+// here without having finished is left over and gives way. A release frees the key only for the attempt that holds it.
+func (s *Store) Finish(request *apiv1.FinishRequest, now time.Time) bool {
+	s.lapse(now)
+	known := s.records[request.Key]
+	if known == nil {
+		return false
+	}
+	attempt := attemptOf(request.Attempt)
+	if request.Release {
+		if known.attempt != attempt || known.call != nil {
+			return false
+		}
+		s.remove(known)
+		return true
+	}
+	if known.call != nil {
+		return known.attempt == attempt
+	}
+	if request.Call == nil || attempt == (Attempt{}) {
+		return false
+	}
+	s.bytes -= known.size()
+	known.attempt = attempt
+	known.call = s.fitting(request.Call)
+	s.bytes += known.size()
+	known.wake()
+	return true
+}
+
+// fitting returns the answer, or the fact that it is too long where memory does not allow it.
+func (s *Store) fitting(call *apiv1.StoredCall) *apiv1.StoredCall {
+	size := (&record{call: call}).size()
+	if size > maxCallBytes+recordOverhead || s.bytes+size > s.limit {
+		return &apiv1.StoredCall{Unknown: call.Unknown, Status: call.Status, TooLong: !call.Unknown}
+	}
+	return call
+}
+
+// Changed returns a channel that is closed when the record of a key changes, nil when there is none.
+func (s *Store) Changed(key string) <-chan struct{} {
+	known := s.records[key]
+	if known == nil {
+		return nil
+	}
+	if known.changed == nil {
+		known.changed = make(chan struct{})
+	}
+	return known.changed
+}
+
+// Page lists up to limit claims after a key, in the order of keys.
+func (s *Store) Page(after string, limit int, now time.Time) (claims []*apiv1.Claim, more bool) {
+	s.lapse(now)
+	keys := make([]string, 0, len(s.records))
+	for key := range s.records {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more = len(keys) > limit
+	for _, key := range keys[:min(limit, len(keys))] {
+		claims = append(claims, s.records[key].message(now))
+	}
+	return claims, more
+}
+
+func (r *record) message(now time.Time) *apiv1.Claim {
+	return &apiv1.Claim{
+		Key:            r.key,
+		Digest:         r.digest,
+		Attempt:        r.attempt.message(),
+		DeadlineUnixMs: r.deadline,
+		LeftMs:         uint64(max(r.expires.Sub(now), 0).Milliseconds()) + 1,
+		Call:           r.call,
+	}
+}
+
+// Merge takes in a claim of another holder. Two unfinished attempts at one key leave the key with nobody: either may
+// have the majority.
+func (s *Store) Merge(claim *apiv1.Claim, now time.Time) {
+	if claim.Key == "" || len(claim.Key) > maxKeyBytes || len(claim.Digest) > maxDigestBytes {
+		return
+	}
+	expires := now.Add(min(time.Duration(claim.LeftMs)*time.Millisecond, maxRetention+CallLimit))
+	known := s.records[claim.Key]
+	if known == nil {
+		s.add(&record{
+			key:      claim.Key,
+			digest:   claim.Digest,
+			attempt:  attemptOf(claim.Attempt),
+			deadline: clampDeadline(claim.DeadlineUnixMs, now),
+			expires:  expires,
+			call:     claim.Call,
+		})
+		return
+	}
+	s.bytes -= known.size()
+	switch {
+	case known.call != nil:
+	case claim.Call != nil:
+		known.attempt, known.call = attemptOf(claim.Attempt), claim.Call
+		known.wake()
+	case known.attempt != attemptOf(claim.Attempt):
+		known.attempt = Attempt{}
+	}
+	s.bytes += known.size()
+	if expires.After(known.expires) {
+		known.expires = expires
+		heap.Fix(&s.lapses, known.index)
+	}
+}
+
+// Len returns the number of claims.
+func (s *Store) Len() int {
+	return len(s.records)
+}
+
+// Bytes returns the memory that the claims count for.
+func (s *Store) Bytes() int {
+	return s.bytes
+}
+
+func (s *Store) add(r *record) {
+	s.records[r.key] = r
+	heap.Push(&s.lapses, r)
+	s.bytes += r.size()
+}
+
+func (s *Store) remove(r *record) {
+	heap.Remove(&s.lapses, r.index)
+	s.forget(r)
+}
+
+func (s *Store) forget(r *record) {
+	delete(s.records, r.key)
+	s.bytes -= r.size()
+	r.wake()
+}
+
+// lapse forgets the claims whose time is over.
+func (s *Store) lapse(now time.Time) {
+	for len(s.lapses) > 0 && !now.Before(s.lapses[0].expires) {
+		s.forget(heap.Pop(&s.lapses).(*record))
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,7 +14,6 @@
 	"samphireflow/internal/control"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
-	"samphireflow/internal/proxy"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/state"
@@ -35,6 +35,8 @@
 	machine *state.Machine
 	control *control.Server
 	node    *node.Node
+	traffic *traffic
+	leaving atomic.Bool
 }
 
 // New prepares the roles. It opens the data folder of a control instance.
@@ -59,6 +61,9 @@
 			Logger:        logger.With().Str("role", "node").Logger(),
 		})
 	}
+	if d.node != nil {
+		d.traffic = newTraffic(s, d.node, logger)
+	}
 	d.registerMetrics()
 	return d, nil
 }
@@ -101,21 +106,27 @@
 	return list
 }
 
-// Run serves until the context ends, then shuts down gracefully.
+// Run serves until the context ends, then shuts down gracefully: first the calls of callers end, then the rest stops,
+// because calls in flight need it.
 func (d *Daemon) Run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(ctx, "admin", d.settings.AdminAddr, d.adminHandler()) })
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return serve(running, "admin", d.settings.AdminAddr, d.adminHandler()) })
 	group.Go(func() error {
-		return serve(ctx, "control", d.settings.ControlAddr, tracing.TracedOnly("control", d.controlHandler()))
+		return serve(running, "control", d.settings.ControlAddr, tracing.TracedOnly("control", d.controlHandler()))
 	})
 	if d.control != nil {
-		group.Go(func() error { return d.control.Run(ctx) })
+		group.Go(func() error { return d.control.Run(running) })
 	}
 	if d.node != nil {
-		group.Go(func() error { return d.node.Run(ctx) })
-		handler := tracing.Handler("node", proxy.New(d.node.Table, d.node.Recorder()))
-		group.Go(func() error { return serve(ctx, "caller", d.settings.CallerAddr, handler) })
+		group.Go(func() error { return d.node.Run(running) })
+		group.Go(func() error { return d.traffic.run(running) })
 	}
+	group.Go(func() error {
+		defer stop()
+		return d.serveCallers(ctx, running)
+	})
 	d.logger.Info().Str("addr", d.settings.ControlAddr).Msg("started")
 	err := group.Wait()
 	if d.replica != nil {
@@ -138,6 +149,7 @@
 	if d.node != nil {
 		inspect := apiv1.NewInspectServer(d.node)
 		mux.Handle(inspect.PathPrefix(), inspect)
+		d.traffic.register(mux)
 	}
 	if d.node != nil && d.control == nil {
 		membership := apiv1.NewMembershipServer(d.node)
@@ -148,8 +160,11 @@
 
 // Ready reports whether all roles can serve.
 func (d *Daemon) Ready() bool {
+	if d.leaving.Load() {
+		return false
+	}
 	if d.control != nil && !d.control.Ready() {
 		return false
 	}
-	return d.node == nil || d.node.Ready()
+	return d.node == nil || d.node.Ready() && d.traffic.ready()
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// shutdownTimeout is the time that requests in flight have at a planned stop.
-	shutdownTimeout = 30 * time.Second
+	// shutdownTimeout is the time that requests in flight have at a planned stop, longer than any call may take.
+	shutdownTimeout = 65 * time.Second
 	// readHeaderTimeout bounds the time in which the header of a request must arrive.
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes is the largest header of a request.
--- /dev/null
+++ b/internal/daemon/traffic.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/claim"
+	"samphireflow/internal/netfault"
+	"samphireflow/internal/node"
+	"samphireflow/internal/proxy"
+	"samphireflow/internal/settings"
+	"samphireflow/internal/suspect"
+	"samphireflow/internal/tracing"
+)
+
+const (
+	// peerDialTimeout bounds the opening of a connection to another node.
+	peerDialTimeout = 500 * time.Millisecond
+	// peerConnections is the number of idle connections that are kept to another node.
+	peerConnections = 8
+	// peerIdleTimeout is the time after which an unused connection to another node is closed.
+	peerIdleTimeout = 30 * time.Second
+)
+
+// traffic is the part of a node that carries calls.
+type traffic struct {
+	configuration *configurationReader
+
+	proxy   *proxy.Proxy
+	gate    *proxy.Gate
+	holder  *claim.Holder
+	watch   *suspect.Watch
+	service *proxy.PeerService
+}
+
+func newTraffic(s *settings.Settings, n *node.Node, logger zerolog.Logger) *traffic {
+	logger = logger.With().Str("role", "node").Logger()
+	started := time.Now()
+	client := &http.Client{Transport: tracing.Transport(&http.Transport{
+		DialContext:         netfault.Dialer(peerDialTimeout),
+		MaxIdleConnsPerHost: peerConnections,
+		IdleConnTimeout:     peerIdleTimeout,
+	})}
+	configuration := newConfigurationReader(n)
+	watch := suspect.NewWatch(suspect.Options{
+		Peers:  func() []string { return peerAddrs(n, s.ControlAddr) },
+		Client: client,
+		Logger: logger,
+		Now:    time.Now,
+	})
+	return &traffic{
+		configuration: configuration,
+
+		watch:   watch,
+		service: proxy.NewPeerService(n, watch),
+		gate:    proxy.NewGate(proxy.GateOptions{Instance: s.Instance, Local: n.Announced, Started: started, Now: time.Now}),
+		holder: claim.NewHolder(claim.HolderOptions{
+			Instance:      s.Instance,
+			FailureDomain: s.FailureDomain,
+			Incarnation:   n.Incarnation(),
+			Configuration: configuration.read,
+			Peer:          claim.HTTPPeer(client),
+			Logger:        logger,
+			Now:           time.Now,
+		}),
+		proxy: proxy.New(proxy.Options{
+			Instance: s.Instance,
+			Table:    n.Table,
+			Recorder: n.Recorder(),
+			Claims: claim.NewClient(claim.Options{
+				Instance:      s.Instance,
+				Incarnation:   n.Incarnation(),
+				Configuration: configuration.read,
+				Peer:          claim.HTTPPeer(client),
+				Logger:        logger,
+				Now:           time.Now,
+			}),
+			Suspects: watch,
+			Logger:   logger,
+		}),
+	}
+}
+
+// ready reports whether keyed calls can be run: sets of claim holders are agreed.
+func (t *traffic) ready() bool {
+	return claim.Agreed(t.configuration.read().Assignments)
+}
+
+// register mounts what other nodes and the platform ask for.
+func (t *traffic) register(mux *http.ServeMux) {
+	mux.Handle(t.gate.Path(), t.gate)
+	claims := apiv1.NewClaimsServer(t.holder)
+	mux.Handle(claims.PathPrefix(), claims)
+	service := apiv1.NewTrafficServer(t.service)
+	mux.Handle(service.PathPrefix(), service)
+}
+
+// run does the periodic work until the context ends.
+func (t *traffic) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return t.holder.Run(ctx) })
+	group.Go(func() error { return t.watch.Run(ctx) })
+	err := group.Wait()
+	t.proxy.Close()
+	return err
+}
+
+// peerAddrs lists the control addresses of the nodes beside all backend servers but this one's.
+func peerAddrs(n *node.Node, own string) []string {
+	table := n.Table()
+	if table == nil {
+		return nil
+	}
+	var addrs []string
+	for _, addr := range table.Nodes() {
+		if addr != own {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,9 @@
 	// announced is the backend server beside this node, guarded by mu.
 	mu        sync.Mutex
 	announced *announcement
+	// drained is the platform's word that the backend server leaves, leaving this node's own stop; guarded by mu.
+	drained bool
+	leaving bool
 	// renewNow asks the renewal loop not to wait.
 	renewNow chan struct{}
 
@@ -87,6 +90,11 @@
 	return n.status.Load()
 }
 
+// Incarnation tells starts of this process apart.
+func (n *Node) Incarnation() uint64 {
+	return n.incarnation
+}
+
 // Recorder returns where the proxy counts outcomes.
 func (n *Node) Recorder() *outcome.Sum {
 	return n.outcomes
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -6,32 +6,8 @@
 	"time"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/member"
 )
 
-// announcement is the last word of the backend server beside this node.
-type announcement struct {
-	server  *apiv1.BackendServer
-	expires time.Time
-}
-
-// Announce takes the heartbeat of the backend server beside this node (twirp service Membership).
-func (n *Node) Announce(_ context.Context, request *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
-	if request.Server == nil || request.Server.Instance == "" {
-		return nil, errNoServer
-	}
-	n.mu.Lock()
-	changed := n.announced == nil || n.announced.server.State != request.Server.State
-	request.Server.Node = n.options.Instance
-	request.Server.NodeControlAddr = n.options.ControlAddr
-	n.announced = &announcement{server: request.Server, expires: time.Now().Add(member.LeaseTime)}
-	n.mu.Unlock()
-	if changed {
-		n.wakeRenewal()
-	}
-	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
-}
-
 func (n *Node) wakeRenewal() {
 	select {
 	case n.renewNow <- struct{}{}:
@@ -87,10 +63,8 @@
 			LastRenewedUnixMs: time.Now().UnixMilli(),
 		},
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.announced != nil && time.Now().Before(n.announced.expires) {
-		request.Servers = append(request.Servers, n.announced.server)
+	if server := n.Announced(); server != nil {
+		request.Servers = append(request.Servers, server)
 	}
 	return request
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +15,8 @@
 	maxBodyBytes = 1 << 20
 	// maxKeyBytes is the longest idempotency key.
 	maxKeyBytes = 128
+	// maxDepth is the number of calls above a call at which it is taken for a loop.
+	maxDepth = 32
 )
 
 // call is one request of a caller, checked and ready to be sent.
@@ -21,7 +24,10 @@
 	request  *http.Request
 	route    *routing.Route
 	service  *routing.Service
+	state    *routeState
 	key      string
+	caller   string
+	depth    int
 	deadline time.Time
 	body     []byte
 }
@@ -33,13 +39,24 @@
 		return nil, notRun(http.StatusNotFound, "no route matches "+r.Method+" "+r.URL.Path)
 	}
 	c := &call{request: r, route: route, service: table.Service(route.Config.Service)}
-	if bad := c.readKey(); bad != nil {
+	if bad := c.readHeader(now, route.Settings.CallTimeout); bad != nil {
 		return nil, bad
 	}
-	if bad := c.readDeadline(now); bad != nil {
-		return nil, bad
+	body, bad := readBody(r)
+	c.body = body
+	return c, bad
+}
+
+// readHeader reads the headers that the system acts on.
+func (c *call) readHeader(now time.Time, timeout time.Duration) *refusal {
+	if bad := c.readKey(); bad != nil {
+		return bad
+	}
+	if bad := c.readDepth(); bad != nil {
+		return bad
 	}
-	return c, c.readBody()
+	c.caller = callerOf(c.request)
+	return c.readDeadline(now, timeout)
 }
 
 func (c *call) readKey() *refusal {
@@ -55,8 +72,24 @@
 	return nil
 }
 
-func (c *call) readDeadline(now time.Time) *refusal {
-	c.deadline = now.Add(c.route.Settings.CallTimeout)
+func (c *call) readDepth() *refusal {
+	text := c.request.Header.Get(HeaderDepth)
+	if text == "" {
+		return nil
+	}
+	depth, err := strconv.Atoi(text)
+	if err != nil || depth < 0 {
+		return notRun(http.StatusBadRequest, HeaderDepth+" is not a number of calls")
+	}
+	if depth >= maxDepth {
+		return notRun(http.StatusLoopDetected, "more than "+strconv.Itoa(maxDepth)+" calls deep")
+	}
+	c.depth = depth
+	return nil
+}
+
+func (c *call) readDeadline(now time.Time, timeout time.Duration) *refusal {
+	c.deadline = now.Add(timeout)
 	text := c.request.Header.Get(HeaderDeadline)
 	if text == "" {
 		return nil
@@ -74,20 +107,42 @@
 	return nil
 }
 
-func (c *call) readBody() *refusal {
-	if c.request.ContentLength > maxBodyBytes {
-		return notRun(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.Itoa(maxBodyBytes)+" bytes")
+// callerOf names the caller for fair shares.
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(HeaderCaller); name != "" {
+		return name
 	}
-	if c.request.Body == nil || c.request.ContentLength == 0 {
-		return nil
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// readBody reads the whole body, so that a request that is cut short is never sent on.
+func readBody(r *http.Request) ([]byte, *refusal) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, notRun(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.Itoa(maxBodyBytes)+" bytes")
 	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBodyBytes+1))
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := readWhole(r.Body, r.ContentLength, maxBodyBytes)
 	if err != nil {
-		return notRun(http.StatusBadRequest, "the body could not be read whole")
+		return nil, notRun(http.StatusBadRequest, "the body could not be read whole")
 	}
 	if len(body) > maxBodyBytes {
-		return notRun(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.Itoa(maxBodyBytes)+" bytes")
+		return nil, notRun(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.Itoa(maxBodyBytes)+" bytes")
 	}
-	c.body = body
-	return nil
+	return body, nil
+}
+
+// readWhole reads to the end or one byte beyond the limit. A known length saves growing the buffer.
+func readWhole(from io.Reader, length, limit int64) ([]byte, error) {
+	if length >= 0 && length <= limit {
+		body := make([]byte, length)
+		_, err := io.ReadFull(from, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(from, limit+1))
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,194 +1,154 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"samphireflow/internal/limit"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/routing"
 	"samphireflow/internal/tracing"
 )
 
 const (
-	// idleTimeout is the time after which an unused connection to a backend server is closed.
+	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 30 * time.Second
-	// dialTimeout bounds the opening of a connection to a backend server.
+	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 500 * time.Millisecond
-	// connectionsPerServer is the number of connections that a node keeps to one backend server.
-	connectionsPerServer = 8
+	// gateConnections is the number of idle connections that a node keeps to another node.
+	gateConnections = 4
 	// maxAnswerBytes is the largest answer that is passed on.
 	maxAnswerBytes = 8 << 20
 )
 
-// Recorder takes the outcomes of calls. It must be safe for use by many goroutines.
-type Recorder interface {
-	Record(service, version, route string, ok, broken bool, duration time.Duration)
-}
-
 // Proxy serves the calls of callers by the newest routing table.
 type Proxy struct {
-	table     func() *routing.Table
-	recorder  Recorder
-	transport http.RoundTripper
-	now       func() time.Time
+	options Options
+	now     func() time.Time
+	links   *links
+	// gates is the transport to other nodes, toGates the same with spans.
+	gates   *http.Transport
+	toGates http.RoundTripper
+	states  routeStates
+	queues  queues
+	rates   *limit.Rates
+	sender  *sender
+	// leaving is set when the node stops: answers then close their connections.
+	leaving atomic.Bool
+	// ejecting guards the count of ejected backend servers between the check and the ejection.
+	ejecting sync.Mutex
 }
 
 // New returns a proxy that reads the routing table anew for each call.
-func New(table func() *routing.Table, recorder Recorder) *Proxy {
-	return &Proxy{
-		table:    table,
-		recorder: recorder,
-		now:      time.Now,
-		transport: tracing.Transport(&http.Transport{
-			DialContext:         netfault.Dialer(dialTimeout),
-			MaxIdleConnsPerHost: connectionsPerServer,
-			MaxConnsPerHost:     connectionsPerServer,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}),
+func New(options Options) *Proxy {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	dial := netfault.Dialer(dialTimeout)
+	p := &Proxy{
+		options: options,
+		now:     options.Now,
+		links:   newLinks(dial),
+		rates:   limit.NewRates(),
+		sender:  newSender(options.Instance),
+	}
+	p.gates = &http.Transport{
+		DialContext:         countingDialer(dial),
+		MaxIdleConnsPerHost: gateConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}
+	p.toGates = tracing.Transport(p.gates)
+	return p
 }
 
-// answer is the whole answer of a backend server.
-type answer struct {
-	status int
-	header http.Header
-	body   []byte
+// countingDialer wraps the connections of a dialer, so that attempts can tell what they sent.
+func countingDialer(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: opened, closed: func() {}, broke: func() {}}, nil
+	}
 }
 
-// errNotSent marks a failure before any byte of the request was sent.
-var errNotSent = errors.New("the request was not sent")
-
 // ServeHTTP routes one call.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	table := p.table()
-	if table == nil {
-		notRun(http.StatusServiceUnavailable, "the node has no configuration yet").write(w)
-		return
-	}
-	c, bad := readCall(r, table, p.now())
-	if bad != nil {
-		bad.write(w)
-		return
+	if p.leaving.Load() {
+		w.Header().Set("Connection", "close")
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
-	got, bad := p.serve(ctx, c)
+	got, bad := p.handle(r)
 	if bad != nil {
 		bad.write(w)
 		return
 	}
-	got.write(w)
+	got.write(w, r)
 }
 
-// serve sends the call, again where that is safe: a request that was not sent, or an idempotent one.
-func (p *Proxy) serve(ctx context.Context, c *call) (*answer, *refusal) {
-	version := pickVersion(c.service, rand.Uint32())
-	if version == nil {
-		return nil, notRun(http.StatusServiceUnavailable, "service "+c.service.Config.Name+" has no version")
-	}
-	tried := map[string]bool{}
-	last := notRun(http.StatusServiceUnavailable, "service "+c.service.Config.Name+" has no backend server")
-	for attempt := 0; attempt <= c.route.Settings.RetryLimit; attempt++ {
-		server := pickServer(version, tried)
-		if server == nil {
-			return nil, last
-		}
-		tried[server.Info.Instance] = true
-		got, err := p.send(ctx, c, server)
-		switch {
-		case err == nil && got.header.Get(HeaderShed) != "":
-			last = notRun(http.StatusServiceUnavailable, "service "+c.service.Config.Name+" is overloaded")
-		case err == nil:
-			return got, nil
-		case errors.Is(err, errNotSent):
-			last = notRun(http.StatusServiceUnavailable, "backend server "+server.Info.Instance+" is not reachable")
-		default:
-			last = unknown(http.StatusBadGateway, "backend server "+server.Info.Instance+" did not answer whole")
-			if !c.route.Config.Idempotent {
-				return nil, last
-			}
-		}
-		if ctx.Err() != nil {
-			return nil, last
-		}
-	}
-	return nil, last
+// Leave makes every answer close its connection, so that callers go to other nodes before this one stops.
+func (p *Proxy) Leave() {
+	p.leaving.Store(true)
 }
 
-// send makes one attempt and records its outcome.
-func (p *Proxy) send(ctx context.Context, c *call, server *routing.Server) (*answer, error) {
-	server.Load.InFlight.Add(1)
-	defer server.Load.InFlight.Add(-1)
-	started := p.now()
-	got, err := p.roundTrip(ctx, c, server)
-	if got != nil && got.header.Get(HeaderShed) != "" {
-		return got, err
-	}
-	if ctx.Err() == context.Canceled {
-		return got, err
-	}
-	ok := err == nil && got.status < http.StatusInternalServerError
-	p.recorder.Record(c.service.Config.Name, server.Info.Version, c.route.Config.Name, ok, err != nil, p.now().Sub(started))
-	return got, err
+// Close closes the connections that no call uses.
+func (p *Proxy) Close() {
+	p.links.closeIdle()
+	p.gates.CloseIdleConnections()
 }
 
-func (p *Proxy) roundTrip(ctx context.Context, c *call, server *routing.Server) (*answer, error) {
-	request, err := p.outgoing(ctx, c, server)
-	if err != nil {
-		return nil, errors.Wrap(errNotSent, err.Error())
+func (p *Proxy) handle(r *http.Request) (*answer, *refusal) {
+	table := p.options.Table()
+	if table == nil {
+		return nil, notRun(http.StatusServiceUnavailable, "the node has no configuration yet")
 	}
-	response, err := p.transport.RoundTrip(request)
-	if err != nil {
-		return nil, classify(err)
+	now := p.now()
+	c, bad := readCall(r, table, now)
+	if bad != nil {
+		return nil, bad
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
+	c.service = withFallback(table, c.service)
+	c.state = p.states.get(c.route.Config.Name)
+	if bad := p.admit(c, now); bad != nil {
+		return nil, bad
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, errors.New("the answer is too long")
+	if c.key != "" && !c.route.Config.Idempotent {
+		return p.serveOnce(c)
 	}
-	return &answer{status: response.StatusCode, header: response.Header, body: body}, nil
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	return p.serve(ctx, c)
 }
 
-func (p *Proxy) outgoing(ctx context.Context, c *call, server *routing.Server) (*http.Request, error) {
-	target := *c.request.URL
-	target.Scheme = "http"
-	target.Host = server.Info.Addr
-	request, err := http.NewRequestWithContext(ctx, c.request.Method, target.String(), bytes.NewReader(c.body))
-	if err != nil {
-		return nil, err
+// admit refuses a call before anything is spent on it.
+func (p *Proxy) admit(c *call, now time.Time) *refusal {
+	if least := c.state.floor.Least(now); c.deadline.Sub(now) < least {
+		return notRun(http.StatusGatewayTimeout, "the deadline cannot be met")
 	}
-	copyHeader(request.Header, c.request.Header)
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(c.deadline.UnixMilli(), 10))
-	// The transport itself repeats requests that it takes for idempotent; an empty GetBody keeps it from that.
-	request.GetBody = nil
-	return request, nil
-}
-
-// classify tells a failed dial, after which nothing was sent, from every other failure.
-func classify(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Wrap(errNotSent, err.Error())
+	if resource := c.route.Limit; resource != nil && resource.PerSecond > 0 {
+		if !p.rates.Allow(resource.Name, resource.PerSecond, resource.Burst, now) {
+			return notRun(http.StatusTooManyRequests, "resource "+resource.Name+" is used up")
+		}
 	}
-	return errors.Wrap(err, "round trip")
+	if p.condemned(c) {
+		return notRun(http.StatusUnprocessableEntity, "the request was in flight when two backend servers died")
+	}
+	return nil
 }
 
-func (a *answer) write(w http.ResponseWriter) {
-	copyHeader(w.Header(), a.header)
-	w.Header().Set(HeaderOutcome, string(OutcomeDone))
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+// withFallback returns the service that takes the calls: the fallback where the service has no backend server.
+func withFallback(table *routing.Table, service *routing.Service) *routing.Service {
+	for i := range service.Versions {
+		if service.Versions[i].Size() > 0 {
+			return service
+		}
+	}
+	if fallback := table.Service(service.Config.Fallback); fallback != nil {
+		return fallback
+	}
+	return service
 }
--- /dev/null
+++ b/internal/proxy/version.go
@@ -0,0 +1,28 @@
+package proxy
+
+import (
+	"samphireflow/internal/routing"
+	"samphireflow/internal/state"
+)
+
+// pickVersion chooses a backend server version by share. A version without ready backend servers passes its
+// calls to the others only when it is the one that is moved to: the old version never passes calls to the new.
+func pickVersion(service *routing.Service, random uint32) *routing.Version {
+	point := random % state.FullShare
+	for i := range service.Versions {
+		version := &service.Versions[i]
+		if point < version.ShareBp {
+			if version.Size() == 0 {
+				return lastVersion(service)
+			}
+			return version
+		}
+		point -= version.ShareBp
+	}
+	return nil
+}
+
+// lastVersion is the one that is moved from, or the only one.
+func lastVersion(service *routing.Service) *routing.Version {
+	return &service.Versions[len(service.Versions)-1]
+}
--- a/internal/routing/matcher.go
+++ b/internal/routing/matcher.go
@@ -52,4 +52,6 @@
 type Route struct {
 	Config   *apiv1.RouteConfig
 	Settings RouteSettings
+	// Limit bounds the rate of calls; nil for no limit.
+	Limit *Resource
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -1,28 +1,16 @@
 package routing
 
 import (
-	"sync/atomic"
-
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/balance"
 )
 
 // Server is a backend server as a node sees it. The load outlives the tables that refer to it.
-type Server struct {
-	Info *apiv1.BackendServer
-	Load *Load
-}
-
-// Load counts what a node has under way at one backend server. All fields may be used from any goroutine.
-type Load struct {
-	// InFlight is the number of calls that this node has sent and that have not ended.
-	InFlight atomic.Int64
-	// Reported is the last load that the backend server reported on an answer: calls running at it.
-	Reported atomic.Int64
-}
+type Server = balance.Server
 
 // Registry keeps the load of each start of a backend server. It belongs to the goroutine that builds tables.
 type Registry struct {
-	loads map[serverKey]*Load
+	servers map[serverKey]*balance.Load
 }
 
 // serverKey names one start of a backend server: an address that is reused by another one has another key.
@@ -33,22 +21,22 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{loads: map[serverKey]*Load{}}
+	return &Registry{servers: map[serverKey]*balance.Load{}}
 }
 
 // Update returns the servers with their load and forgets the load of servers that are no longer listed.
 func (r *Registry) Update(servers []*apiv1.BackendServer) []*Server {
-	kept := make(map[serverKey]*Load, len(servers))
+	kept := make(map[serverKey]*balance.Load, len(servers))
 	list := make([]*Server, 0, len(servers))
 	for _, info := range servers {
 		key := serverKey{info.Instance, info.Incarnation}
-		load := r.loads[key]
+		load := r.servers[key]
 		if load == nil {
-			load = &Load{}
+			load = balance.NewLoad(info)
 		}
 		kept[key] = load
 		list = append(list, &Server{Info: info, Load: load})
 	}
-	r.loads = kept
+	r.servers = kept
 	return list
 }
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/balance"
 	"samphireflow/internal/tree"
 )
 
@@ -18,16 +19,12 @@
 
 // ServiceSettings are the parsed settings of a service.
 type ServiceSettings struct {
-	SpillThreshold float64
-	SlowStart      time.Duration
-	EjectErrorRate float64
-	EjectMaxShare  float64
-	EjectTime      time.Duration
-	QueueLength    int
-	CallerShare    float64
-	DrainTimeout   time.Duration
-	ErrorMargin    float64
-	LatencyRatio   float64
+	Balance      balance.Policy
+	QueueLength  int
+	CallerShare  float64
+	DrainTimeout time.Duration
+	ErrorMargin  float64
+	LatencyRatio float64
 }
 
 // values reads settings that the schema has checked, so that a value that does not parse counts as zero.
@@ -69,15 +66,17 @@
 func parseServiceSettings(settings []*apiv1.Setting) ServiceSettings {
 	v := readValues(settings)
 	return ServiceSettings{
-		SpillThreshold: v.float(tree.KeySpillThreshold),
-		SlowStart:      v.duration(tree.KeySlowStart),
-		EjectErrorRate: v.float(tree.KeyEjectErrorRate),
-		EjectMaxShare:  v.float(tree.KeyEjectMaxShare),
-		EjectTime:      v.duration(tree.KeyEjectTime),
-		QueueLength:    v.integer(tree.KeyQueueLength),
-		CallerShare:    v.float(tree.KeyCallerShare),
-		DrainTimeout:   v.duration(tree.KeyDrainTimeout),
-		ErrorMargin:    v.float(tree.KeyMoveErrorMargin),
-		LatencyRatio:   v.float(tree.KeyMoveLatencyRatio),
+		Balance: balance.Policy{
+			SpillThreshold: v.float(tree.KeySpillThreshold),
+			SlowStart:      v.duration(tree.KeySlowStart),
+			EjectErrorRate: v.float(tree.KeyEjectErrorRate),
+			EjectMaxShare:  v.float(tree.KeyEjectMaxShare),
+			EjectTime:      v.duration(tree.KeyEjectTime),
+		},
+		QueueLength:  v.integer(tree.KeyQueueLength),
+		CallerShare:  v.float(tree.KeyCallerShare),
+		DrainTimeout: v.duration(tree.KeyDrainTimeout),
+		ErrorMargin:  v.float(tree.KeyMoveErrorMargin),
+		LatencyRatio: v.float(tree.KeyMoveLatencyRatio),
 	}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	apiv1 "samphireflow/api/v1"
 )
 
@@ -22,11 +24,18 @@
 	Remote []*Server
 }
 
+// Size returns the number of ready backend servers.
+func (v *Version) Size() int {
+	return len(v.Local) + len(v.Remote)
+}
+
 // Table is what a node routes by. It is immutable.
 type Table struct {
 	Snapshot *apiv1.Snapshot
 	matcher  *matcher
 	services map[string]*Service
+	routes   []*Route
+	nodes    []string
 }
 
 // Build makes the table of a checked snapshot and the announced backend servers. The registry keeps the state of
@@ -37,12 +46,53 @@
 	for _, config := range snap.Services {
 		t.services[config.Name] = buildService(config, ready[config.Name], snap.FailureDomain)
 	}
+	t.routes = buildRoutes(snap)
+	t.matcher = newMatcher(t.routes)
+	t.nodes = nodeAddrs(servers)
+	return t
+}
+
+// nodeAddrs lists the control addresses of the nodes beside the backend servers.
+func nodeAddrs(servers []*apiv1.BackendServer) []string {
+	var addrs []string
+	seen := map[string]bool{}
+	for _, server := range servers {
+		if addr := server.NodeControlAddr; addr != "" && !seen[addr] {
+			seen[addr] = true
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+// Nodes lists the control addresses of the nodes beside the announced backend servers. The list must not be changed.
+func (t *Table) Nodes() []string {
+	return t.nodes
+}
+
+// LongestRetention returns the longest time for which any route keeps claims.
+func (t *Table) LongestRetention() time.Duration {
+	var longest time.Duration
+	for _, route := range t.routes {
+		longest = max(longest, route.Settings.ClaimRetention)
+	}
+	return longest
+}
+
+func buildRoutes(snap *apiv1.Snapshot) []*Route {
+	resources := make(map[string]*Resource, len(snap.Resources))
+	for _, config := range snap.Resources {
+		resources[config.Name] = parseResource(config)
+	}
 	routes := make([]*Route, 0, len(snap.Routes))
 	for _, config := range snap.Routes {
-		routes = append(routes, &Route{Config: config, Settings: parseRouteSettings(config.Settings)})
+		routes = append(routes, &Route{
+			Config:   config,
+			Settings: parseRouteSettings(config.Settings),
+			Limit:    resources[config.RateLimit],
+		})
 	}
-	t.matcher = newMatcher(routes)
-	return t
+	return routes
 }
 
 func groupReady(servers []*apiv1.BackendServer, registry *Registry) map[string][]*Server {
