--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -26,7 +26,7 @@
 		d.leave(running)
 		stop()
 	}()
-	return serve(serving, "caller", d.settings.CallerAddr, tracing.Handler("node", d.traffic.proxy))
+	return serve(serving, "caller", d.settings.CallerAddr, limitHeader(tracing.Handler("node", d.traffic.proxy)))
 }
 
 // leave tells callers, the platform and the other nodes that this node is about to stop.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -74,7 +74,7 @@
 		p.completed(c)
 	}
 	ok := r.fate == fateDone && r.answer.status < http.StatusInternalServerError
-	p.options.Recorder.Record(server.Info.Service, server.Info.Version, c.route.Config.Name, ok, r.fate == fateBroken, now.Sub(started))
+	p.options.Recorder.Record(server.Info.Service, server.Info.Version, c.route.Config.Name, ok, r.fate == fateBroken && ended == nil, now.Sub(started))
 }
 
 // observe counts an outcome and ejects an outlier while enough others stay.
