--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// Len returns the number of calls that wait.
+func (q *Queue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
 // Empty reports whether no call waits.
 func (q *Queue) Empty() bool {
 	q.mu.Lock()
