--- a/internal/claim/property_test.go
+++ b/internal/claim/property_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	worlds      = 20_000
+	worlds      = 130_000
 	stepsAWorld = 120
 	maxAttempts = 4
 	maxDeaths   = 3
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -65,6 +65,17 @@
 	return count
 }
 
+// Granted returns the connections that each node may hold, by its name.
+func (l *Ledger) Granted() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := make(map[string]int, len(l.grants))
+	for node, grants := range l.grants {
+		counts[node] = largest(grants)
+	}
+	return counts
+}
+
 func (l *Ledger) decide(current, held, want, free int, now time.Time) int {
 	if now.Before(l.recovered) {
 		return l.recover(current, held, free)
