--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -117,20 +117,20 @@
 }
 
 // Sync lists the claims for another holder of the same epoch.
-func (h *Holder) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+func (h *Holder) Sync(_ context.Context, request *apiv1.SyncClaimsRequest) (*apiv1.SyncClaimsResponse, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.options.Now()
 	h.observe(now)
 	if _, ok := h.seat.Check(request.FailureDomain, request.Epoch); !ok {
-		return &apiv1.SyncResponse{}, nil
+		return &apiv1.SyncClaimsResponse{}, nil
 	}
 	limit := int(request.Limit)
 	if limit == 0 || limit > pageLimit {
 		limit = pageLimit
 	}
 	claims, more := h.store.Page(request.AfterKey, limit, now)
-	return &apiv1.SyncResponse{Synced: true, Claims: claims, More: more}, nil
+	return &apiv1.SyncClaimsResponse{Synced: true, Claims: claims, More: more}, nil
 }
 
 // Run syncs whenever the holder lacks memory, until the context ends.
@@ -203,7 +203,7 @@
 // read merges the memory of another holder.
 func (h *Holder) read(ctx context.Context, set *apiv1.Assignment, node *apiv1.AssignedNode) error {
 	client := h.options.Peer(node.ControlAddr)
-	request := &apiv1.SyncRequest{
+	request := &apiv1.SyncClaimsRequest{
 		FailureDomain: set.FailureDomain,
 		Epoch:         set.Epoch,
 		Instance:      h.options.Instance,
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -24,40 +24,63 @@
 	if request.Server == nil || request.Server.Instance == "" {
 		return nil, errNoServer
 	}
-	now := time.Now()
 	request.Server.Node = n.options.Instance
 	request.Server.NodeControlAddr = n.options.ControlAddr
-	n.mu.Lock()
-	if n.announced != nil && n.announced.server.Incarnation != request.Server.Incarnation {
-		n.drained = false
-	}
-	n.announced = &announcement{server: request.Server, expires: now.Add(member.LeaseTime), told: n.toldBefore()}
-	changed := n.tell(now)
-	n.mu.Unlock()
-	if changed {
+	if n.takeAnnouncement(request.Server) {
+		n.revise()
 		n.wakeRenewal()
 	}
 	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
 }
 
-// Announced returns the backend server beside this node as others are told of it, nil when none is announced.
+// takeAnnouncement reports whether the backend server announced something new. Its load is no news: it travels on
+// its answers.
+func (n *Node) takeAnnouncement(server *apiv1.BackendServer) bool {
+	server.InFlight = 0
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	before := n.told(now)
+	if before != nil && before.Incarnation != server.Incarnation {
+		n.drained = false
+	}
+	n.announced = &announcement{server: server, expires: now.Add(member.LeaseTime), told: n.tell(server)}
+	return before == nil || !proto.Equal(before, n.announced.told)
+}
+
+// Announced returns the backend server beside this node as others are told of it, nil when none is announced. It must
+// not be changed.
 func (n *Node) Announced() *apiv1.BackendServer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.announced == nil || !time.Now().Before(n.announced.expires) {
+	return n.told(time.Now())
+}
+
+// told returns the announcement in force; guarded by mu.
+func (n *Node) told(now time.Time) *apiv1.BackendServer {
+	if n.announced == nil || now.After(n.announced.expires) {
 		return nil
 	}
 	return n.announced.told
 }
 
+// tell makes what others are told from the word of the backend server and the wishes of the platform; guarded by mu.
+func (n *Node) tell(server *apiv1.BackendServer) *apiv1.BackendServer {
+	if !n.drained && !n.leaving || server.State != apiv1.ServerState_SERVER_STATE_READY {
+		return server
+	}
+	told := proto.Clone(server).(*apiv1.BackendServer)
+	told.State = apiv1.ServerState_SERVER_STATE_DRAINING
+	return told
+}
+
 // Drain takes the backend server out of service on the platform's word, or puts it back. A new start of the backend
 // server is in service again.
 func (n *Node) Drain(undo bool) *apiv1.BackendServer {
 	n.mu.Lock()
 	n.drained = !undo
-	n.retell()
 	n.mu.Unlock()
-	n.wakeRenewal()
+	n.retell()
 	return n.Announced()
 }
 
@@ -65,38 +88,17 @@
 func (n *Node) Leave() {
 	n.mu.Lock()
 	n.leaving = true
-	n.retell()
 	n.mu.Unlock()
-	n.wakeRenewal()
-}
-
-func (n *Node) toldBefore() *apiv1.BackendServer {
-	if n.announced == nil {
-		return nil
-	}
-	return n.announced.told
+	n.retell()
 }
 
+// retell tells others at once what the platform wishes.
 func (n *Node) retell() {
+	n.mu.Lock()
 	if n.announced != nil {
-		n.tell(time.Now())
-	}
-}
-
-// tell makes what others are told from the last word of the backend server and the wishes of the platform; guarded by
-// mu. It reports whether others must hear of it at once. The revision is the time of the last change, so that it grows
-// over restarts of the node too.
-func (n *Node) tell(now time.Time) bool {
-	before := n.announced.told
-	next := proto.Clone(n.announced.server).(*apiv1.BackendServer)
-	if (n.drained || n.leaving) && next.State == apiv1.ServerState_SERVER_STATE_READY {
-		next.State = apiv1.ServerState_SERVER_STATE_DRAINING
-	}
-	changed := before == nil || before.State != next.State || before.Incarnation != next.Incarnation
-	next.Revision = before.GetRevision()
-	if changed {
-		next.Revision = uint64(now.UnixMilli())
+		n.announced.told = n.tell(n.announced.server)
 	}
-	n.announced.told = next
-	return changed
+	n.mu.Unlock()
+	n.revise()
+	n.wakeRenewal()
 }
--- a/internal/proxy/peer_service.go
+++ b/internal/proxy/peer_service.go
@@ -32,17 +32,17 @@
 }
 
 // Probe tells whether a start of the backend server beside this node is alive.
-func (s *PeerService) Probe(_ context.Context, request *apiv1.ProbeRequest) (*apiv1.ProbeResponse, error) {
+func (s *PeerService) Probe(_ context.Context, request *apiv1.ProbeServerRequest) (*apiv1.ProbeServerResponse, error) {
 	info := s.local.Announced()
 	if info == nil || info.Instance != request.Instance || info.Incarnation != request.Incarnation {
-		return &apiv1.ProbeResponse{}, nil
+		return &apiv1.ProbeServerResponse{}, nil
 	}
 	opened, err := net.DialTimeout("tcp", info.Addr, probeDial)
 	if err != nil {
-		return &apiv1.ProbeResponse{}, nil
+		return &apiv1.ProbeServerResponse{}, nil
 	}
 	_ = opened.Close()
-	return &apiv1.ProbeResponse{Alive: true}, nil
+	return &apiv1.ProbeServerResponse{Alive: true}, nil
 }
 
 // Suspect takes what another node tells about a request.
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTime)
 	defer cancel()
 	client := apiv1.NewTrafficProtobufClient("http://"+info.NodeControlAddr, w.options.Client)
-	response, err := client.Probe(ctx, &apiv1.ProbeRequest{Instance: info.Instance, Incarnation: info.Incarnation})
+	response, err := client.Probe(ctx, &apiv1.ProbeServerRequest{Instance: info.Instance, Incarnation: info.Incarnation})
 	return err == nil && !response.Alive
 }
 
--- a/test/shell/small_test.go
+++ b/test/shell/small_test.go
@@ -75,6 +75,14 @@
 	return s
 }
 
+// acceptedVersion asks the control group for the newest accepted version.
+func (s *small) acceptedVersion(t *testing.T) uint64 {
+	t.Helper()
+	version, err := s.AcceptedVersion(t.Context())
+	require.NoError(t, err)
+	return version
+}
+
 // setFaults switches faults of the backend server on.
 func (s *small) setFaults(t *testing.T, document string) {
 	t.Helper()
