--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -74,6 +74,7 @@
 		p.completed(c)
 	}
 	ok := r.fate == fateDone && r.answer.status < http.StatusInternalServerError
+	p.guard.Record(now, c.service.Config, server.Info.Version, !ok)
 	p.options.Recorder.Record(server.Info.Service, server.Info.Version, c.route.Config.Name, ok, r.fate == fateBroken && ended == nil, now.Sub(started))
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"samphireflow/internal/limit"
+	"samphireflow/internal/move/local"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/routing"
 	"samphireflow/internal/tracing"
@@ -37,6 +38,8 @@
 	queues  queues
 	rates   *limit.Rates
 	sender  *sender
+	// guard holds back the new version of a move on what this node sees.
+	guard *local.Guard
 	// leaving is set when the node stops: answers then close their connections.
 	leaving atomic.Bool
 	// ejecting guards the count of ejected backend servers between the check and the ejection.
@@ -55,6 +58,7 @@
 		links:   newLinks(dial),
 		rates:   limit.NewRates(),
 		sender:  newSender(options.Instance),
+		guard:   local.NewGuard(),
 	}
 	p.gates = &http.Transport{
 		DialContext:         countingDialer(dial),
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -10,7 +10,7 @@
 
 // serve sends the call, and again where that is safe and worth it.
 func (p *Proxy) serve(ctx context.Context, c *call) (*answer, *refusal) {
-	version := pickVersion(c.service, rand.Uint32())
+	version := p.pickVersion(c.service, rand.Uint32(), p.now())
 	if version == nil || version.Size() == 0 {
 		return nil, notRun(http.StatusServiceUnavailable, "service "+c.service.Config.Name+" has no backend server")
 	}
--- a/internal/proxy/version.go
+++ b/internal/proxy/version.go
@@ -1,25 +1,28 @@
 package proxy
 
 import (
+	"time"
+
 	"samphireflow/internal/routing"
 	"samphireflow/internal/state"
 )
 
-// pickVersion chooses a backend server version by share. A version without ready backend servers passes its
-// calls to the others only when it is the one that is moved to: the old version never passes calls to the new.
-func pickVersion(service *routing.Service, random uint32) *routing.Version {
+// pickVersion chooses a backend server version by share. During a move the node itself may hold the new version back
+// (see package local). A version without ready backend servers passes its calls to the others only when it is the one
+// that is moved to: the old version never passes calls to the new.
+func (p *Proxy) pickVersion(service *routing.Service, random uint32, now time.Time) *routing.Version {
+	if len(service.Versions) == 0 {
+		return nil
+	}
+	first, last := &service.Versions[0], lastVersion(service)
 	point := random % state.FullShare
-	for i := range service.Versions {
-		version := &service.Versions[i]
-		if point < version.ShareBp {
-			if version.Size() == 0 {
-				return lastVersion(service)
-			}
-			return version
+	if point < first.ShareBp && first.Size() > 0 {
+		held := point >= p.guard.Limit(now, service.Config, first.ShareBp)
+		if !held || last.Size() == 0 {
+			return first
 		}
-		point -= version.ShareBp
 	}
-	return nil
+	return last
 }
 
 // lastVersion is the one that is moved from, or the only one.
