--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -3,9 +3,10 @@
 import (
 	"samphireflow/internal/bench"
 	"samphireflow/internal/bench/moves"
+	"samphireflow/internal/bench/traffic"
 )
 
 // suites lists the measurements in the order in which they run.
 func suites() []bench.Suite {
-	return []bench.Suite{moves.Suite()}
+	return []bench.Suite{moves.Suite(), traffic.Suite()}
 }
--- a/internal/deployment/layout.go
+++ b/internal/deployment/layout.go
@@ -20,6 +20,8 @@
 	Connections int
 	// ProbeCost is the time that a health probe of a backend server takes.
 	ProbeCost time.Duration
+	// Work is the mean time that a call takes in its slot; zero leaves it to the backend server.
+	Work time.Duration
 	// DrainLinger is the time for which a stopping backend server still accepts calls.
 	DrainLinger time.Duration
 }
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -173,5 +173,8 @@
 		"--executions", filepath.Join(p.dir, "executions", process.Instance+".jsonl"),
 		"--crash-marker", CrashMarker,
 	}
+	if p.layout.Work > 0 {
+		argv = append(argv, "--work", p.layout.Work.String())
+	}
 	return append(argv, p.traceFlags(process)...)
 }
