--- a/api/v1/distribution.twirp.go
+++ b/api/v1/distribution.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *distributionServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *distributionServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Distribution")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1514 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xd4, 0x57, 0xcb, 0x6e, 0xdb, 0x46,
 	0x17, 0xfe, 0x75, 0xa3, 0xa4, 0xa3, 0x6b, 0xe6, 0x4f, 0x1c, 0xda, 0x49, 0x1c, 0xff, 0x02, 0xf2,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,9 @@
 	mu        sync.Mutex
 	announced *announcement
 	revision  uint64
+	// drained is the platform's word that the backend server leaves, leaving this node's own stop; guarded by mu.
+	drained bool
+	leaving bool
 	// renewNow asks the renewal loop not to wait.
 	renewNow chan struct{}
 
@@ -129,6 +132,11 @@
 	return n.status.Load()
 }
 
+// Incarnation tells starts of this process apart.
+func (n *Node) Incarnation() uint64 {
+	return n.incarnation
+}
+
 // Recorder returns where the proxy counts outcomes.
 func (n *Node) Recorder() *Recorder {
 	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
