--- a/internal/bench/distribution/baseline.go
+++ b/internal/bench/distribution/baseline.go
@@ -79,7 +79,7 @@
 	if rest(rand.N(baselineInterval))(ctx) != nil {
 		return
 	}
-	request := &apiv1.WatchRequest{Instance: p.instance, FailureDomain: p.failureDomain, MembersAfterMs: 1 << 30}
+	request := &apiv1.WatchRequest{Instance: p.instance, FailureDomain: p.failureDomain, Relay: true, MembersAfterMs: 1 << 30}
 	for ctx.Err() == nil {
 		if response, err := to.Distribution.Watch(ctx, request); err == nil {
 			snap := &apiv1.Snapshot{}
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -40,3 +40,8 @@
 	members := s.members.Members()
 	return len(members.Nodes), len(members.Servers)
 }
+
+// Nodes lists the nodes that hold a lease.
+func (s *Server) Nodes() []*apiv1.NodeInfo {
+	return s.members.Members().Nodes
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -30,7 +30,9 @@
 	Instance string
 	Log      Log
 	Machine  *state.Machine
-	Logger   zerolog.Logger
+	// Client reaches the other processes; nil for one of the server's own.
+	Client *http.Client
+	Logger zerolog.Logger
 }
 
 // Server runs the control role of one process.
@@ -57,9 +59,9 @@
 // New returns a server that has not started.
 func New(options Options) *Server {
 	started := time.Now()
-	client := &http.Client{
-		Timeout:   forwardTimeout,
-		Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
+	client := options.Client
+	if client == nil {
+		client = newHTTPClient()
 	}
 	members := member.NewHub(options.Instance, uint64(started.UnixNano()))
 	s := &Server{
@@ -79,6 +81,13 @@
 	return s
 }
 
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Timeout:   forwardTimeout,
+		Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
+	}
+}
+
 // helpers are the other control instances.
 func (s *Server) helpers() []*distribution.Client {
 	return distribution.DialAll(s.otherControls(), s.client)
--- a/internal/control/source.go
+++ b/internal/control/source.go
@@ -25,7 +25,7 @@
 // Redirect sends the nodes of a failure domain that has relays to them.
 func (s source) Redirect(request *apiv1.WatchRequest) *apiv1.Assignment {
 	relays := s.options.Machine.View().Assignment(request.FailureDomain, apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY)
-	if len(relays.GetNodes()) == 0 || distribution.IsRelay(relays, request.Instance) {
+	if len(relays.GetNodes()) == 0 || request.Relay && distribution.IsRelay(relays, request.Instance) {
 		return nil
 	}
 	return relays
--- a/internal/distribution/relay_pull.go
+++ b/internal/distribution/relay_pull.go
@@ -68,6 +68,7 @@
 		Instance:      r.options.Instance,
 		FailureDomain: r.options.FailureDomain,
 		WaitMs:        uint32(pullWait.Milliseconds()),
+		Relay:         true,
 		Version:       held.GetVersion(),
 		Term:          held.GetTerm(),
 		// Members are taken over by Sync.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,6 @@
 type Node struct {
 	options     Options
 	incarnation uint64
-	client      *http.Client
 	// own reaches the relay in this process, which works while this node is one of the relays.
 	relay    *distribution.Relay
 	own      *distribution.Client
@@ -65,10 +64,12 @@
 
 // New returns a node that has not started.
 func New(options Options) *Node {
+	if options.Client == nil {
+		options.Client = distribution.NewHTTPClient()
+	}
 	n := &Node{
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
-		client:      distribution.NewHTTPClient(),
 		outcomes:    outcome.NewSum(options.FailureDomain),
 		renewNow:    make(chan struct{}, 1),
 		applier:     applier{failureDomain: options.FailureDomain},
@@ -83,7 +84,7 @@
 		ControlAddr:   options.ControlAddr,
 		Incarnation:   n.incarnation,
 		Control:       options.Control,
-		Client:        n.client,
+		Client:        options.Client,
 		Logger:        options.Logger,
 	})
 	n.own = &distribution.Client{Addr: options.ControlAddr, Distribution: n.relay, Membership: n.relay, Relay: n.relay}
@@ -102,7 +103,7 @@
 	if addr == n.options.ControlAddr {
 		return n.own
 	}
-	return distribution.Dial(addr, n.client)
+	return distribution.Dial(addr, n.options.Client)
 }
 
 // Register mounts the twirp services that other processes of the system reach a node by, apart from Inspect.
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	apiv1 "samphireflow/api/v1"
 )
 
 // Options are the settings of a node.
@@ -20,7 +23,11 @@
 	Seeds []string
 	// Services lists the services that the callers of this node call; empty for all.
 	Services []string
-	Logger   zerolog.Logger
+	// Client reaches the other processes; nil for one of the node's own.
+	Client *http.Client
+	// OnApply is told each snapshot that the node begins to act on; nil for nobody.
+	OnApply func(*apiv1.Snapshot)
+	Logger  zerolog.Logger
 }
 
 const (
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -147,7 +147,7 @@
 		n.options.Logger.Warn().Err(refused).Str("upstream", from.Addr).Msg("configuration refused")
 	}
 	if changed {
-		n.learnRelays(distribution.RelaysOf(n.applier.current))
+		n.applied()
 	}
 	membersChanged, err := n.takeMembers(response.Members)
 	if err != nil {
@@ -166,6 +166,17 @@
 	return nil
 }
 
+// applied tells that the node acts on another snapshot.
+func (n *Node) applied() {
+	current := n.applier.current
+	n.options.Logger.Info().Uint64("version", current.Version).Uint64("config_term", current.Term).
+		Str("digest", strconv.FormatUint(current.Digest, 16)).Msg("configuration applied")
+	if n.options.OnApply != nil {
+		n.options.OnApply(current)
+	}
+	n.learnRelays(distribution.RelaysOf(current))
+}
+
 func (n *Node) learnRelays(relays *apiv1.Assignment) {
 	n.relay.LearnRelays(relays)
 	if n.selector.learn(relays) {
