--- a/internal/distribution/proof_test.go
+++ b/internal/distribution/proof_test.go
@@ -214,7 +214,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, 5, 7)
-						w.settle()
+				w.settle()
 				good := w.hosts[0].version()
 				w.network.change(func() {
 					w.network.tamper = func(from, to, path string, body []byte) []byte {
