Renew unchanged leases in short form

Change: while nothing changed at the same home a renewal names instance, incarnation, revision and the backend servers still announced; a home that does not know them asks for the whole.

--- a/internal/bench/distribution/cost.go
+++ b/internal/bench/distribution/cost.go
@@ -18,8 +18,12 @@
 	node    rate
 }
 
-// settleTime is the time after a change of size before costs are measured.
-const settleTime = 5 * time.Second
+const (
+	// settleTime is the time after a change of size before costs are measured, and settlePerNode what each node adds,
+	// because a node takes the list of members at a bounded rate.
+	settleTime    = 5 * time.Second
+	settlePerNode = 25 * time.Millisecond
+)
 
 // measure takes the costs over a time in which work is done.
 func (c *cluster) measure(ctx context.Context, work func(ctx context.Context) error) (cost, error) {
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -6,7 +6,6 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/member"
 )
 
 // membershipService serves the twirp service Membership.
@@ -21,13 +20,12 @@
 
 // Renew extends leases.
 func (s membershipService) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
-	refuted := s.members.Renew(request, s.now())
-	return &apiv1.RenewResponse{
-		LeaseMs:         uint32(member.LeaseTime.Milliseconds()),
-		Version:         s.options.Machine.View().Version,
-		AgeMs:           uint64(s.options.Log.Status().LastContact.Milliseconds()),
-		RefutedRevision: refuted,
-	}, nil
+	response := &apiv1.RenewResponse{
+		Version: s.options.Machine.View().Version,
+		AgeMs:   uint64(s.options.Log.Status().LastContact.Milliseconds()),
+	}
+	s.members.Renew(request, response, s.now())
+	return response, nil
 }
 
 // List lists the members that hold a lease.
--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -32,12 +32,8 @@
 
 // Renew extends the leases of a node (twirp service Membership).
 func (r *Relay) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
-	refuted := r.hub.Renew(request, time.Now())
-	response := &apiv1.RenewResponse{
-		LeaseMs:         uint32(member.LeaseTime.Milliseconds()),
-		AgeMs:           uint64(r.state.Age().Milliseconds()),
-		RefutedRevision: refuted,
-	}
+	response := &apiv1.RenewResponse{AgeMs: uint64(r.state.Age().Milliseconds())}
+	r.hub.Renew(request, response, time.Now())
 	if newest := r.state.released.Newest(); newest != nil {
 		response.Version = newest.Version
 	}
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -42,12 +42,17 @@
 	return h.source
 }
 
-// Renew extends leases; see Table.Renew.
-func (h *Hub) Renew(request *apiv1.RenewRequest, now time.Time) uint64 {
+// Renew extends leases and puts into the answer what the node has to do to be believed.
+func (h *Hub) Renew(request *apiv1.RenewRequest, response *apiv1.RenewResponse, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.wake()
-	return h.table.Renew(request, now)
+	response.LeaseMs = uint32(LeaseTime.Milliseconds())
+	if request.Unchanged {
+		response.WantWhole = !h.table.Keep(request, now)
+		return
+	}
+	response.RefutedRevision = h.table.Renew(request, now)
 }
 
 // Merge takes in records of another table and notes that the home which sent them was heard.
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -92,6 +92,19 @@
 	return s.answerRefuted(r)
 }
 
+// keep extends a lease at home here whose record has not changed. It reports whether the lease is known.
+func (s *leaseSet[R]) keep(instance string, now time.Time) bool {
+	known := s.leases[instance]
+	if known == nil || known.gone || known.record.GetHome() != s.self {
+		return false
+	}
+	if _, refuted := s.refuted[instance]; refuted {
+		return false
+	}
+	known.expires = now.Add(LeaseTime)
+	return true
+}
+
 func (s *leaseSet[R]) answerRefuted(r R) uint64 {
 	refuted := s.refuted[r.GetInstance()]
 	if r.GetRevision() <= refuted {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -82,6 +82,21 @@
 	return exceed
 }
 
+// Keep extends the leases of a node whose last word still holds. It reports whether that word is known here; if not,
+// the node has to renew with whole records.
+func (t *Table) Keep(request *apiv1.RenewRequest, now time.Time) bool {
+	info := request.Node
+	known := t.nodes.leases[info.GetInstance()]
+	if known == nil || known.record.Incarnation != info.Incarnation || known.record.Revision != info.Revision {
+		return false
+	}
+	kept := t.nodes.keep(info.Instance, now)
+	for _, instance := range request.UnchangedServers {
+		kept = t.servers.keep(instance, now) && kept
+	}
+	return kept
+}
+
 // Merge takes in records of another table.
 func (t *Table) Merge(nodes []*apiv1.NodeInfo, servers []*apiv1.BackendServer, now time.Time) {
 	for _, info := range nodes {
@@ -209,13 +224,15 @@
 	return digestHome(t.nodes, home) + digestHome(t.servers, home)
 }
 
-// Nodes lists the nodes that hold a lease, by instance name. A home vouches for its nodes: their time of renewal is
-// that at which the home was last heard.
+// Nodes lists the nodes that hold a lease, by instance name, with the time of their last renewal. A home vouches for
+// its nodes: for those of another home it is the time at which that was last heard.
 func (t *Table) Nodes() []*apiv1.NodeInfo {
 	list := t.nodes.live()
 	for i, info := range list {
-		if heard, ok := t.homes[info.Home]; ok {
-			list[i] = proto.Clone(info).(*apiv1.NodeInfo)
+		list[i] = proto.Clone(info).(*apiv1.NodeInfo)
+		if info.Home == t.self {
+			list[i].LastRenewedUnixMs = t.nodes.leases[info.Instance].expires.Add(-LeaseTime).UnixMilli()
+		} else if heard, ok := t.homes[info.Home]; ok {
 			list[i].LastRenewedUnixMs = heard.UnixMilli()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,9 @@
 	// renewNow asks the renewal loop not to wait.
 	renewNow chan struct{}
 
+	// renewed belongs to the goroutine that renews.
+	renewed renewal
+
 	// The rest belongs to the watch goroutine.
 	applier   applier
 	directory *member.Directory
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -94,18 +94,52 @@
 func (n *Node) renewOnce(ctx context.Context, to *distribution.Client, leaving bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	response, err := to.Membership.Renew(ctx, n.renewRequest(leaving))
+	request := n.renewRequest(leaving)
+	revision := request.Node.Revision
+	if n.renewed.home == to && n.renewed.revision == revision && !leaving {
+		request = unchanged(request)
+	}
+	response, err := to.Membership.Renew(ctx, request)
+	n.renewed = renewal{}
 	if err != nil {
 		n.options.Logger.Debug().Err(err).Str("upstream", to.Addr).Msg("lease renewal failed")
 		return false
 	}
-	if response.RefutedRevision > 0 && !leaving {
+	switch {
+	case leaving:
+	case response.RefutedRevision > 0:
 		n.exceed(response.RefutedRevision)
 		n.wakeRenewal()
+	case response.WantWhole:
+		n.wakeRenewal()
+	default:
+		n.renewed = renewal{home: to, revision: revision}
 	}
 	return true
 }
 
+// renewal is a renewal that was answered.
+type renewal struct {
+	home     *distribution.Client
+	revision uint64
+}
+
+// unchanged returns the short form of a renewal whose records the home has.
+func unchanged(request *apiv1.RenewRequest) *apiv1.RenewRequest {
+	short := &apiv1.RenewRequest{
+		Node: &apiv1.NodeInfo{
+			Instance:    request.Node.Instance,
+			Incarnation: request.Node.Incarnation,
+			Revision:    request.Node.Revision,
+		},
+		Unchanged: true,
+	}
+	for _, server := range request.Servers {
+		short.UnchangedServers = append(short.UnchangedServers, server.Instance)
+	}
+	return short
+}
+
 func (n *Node) renewRequest(leaving bool) *apiv1.RenewRequest {
 	status := n.Status()
 	n.mu.Lock()
