--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -180,3 +180,9 @@
 func (d *Deployment) CLIAt(ctx context.Context, control Process, args ...string) (string, error) {
 	return newCLI(d.planner.binDir, []Process{control}).run(ctx, args...)
 }
+
+// Log returns what a process has logged, over all its starts.
+func (d *Deployment) Log(process Process) ([]byte, error) {
+	text, err := os.ReadFile(d.launcher.logName(&process))
+	return text, errors.Wrap(err, "read a log")
+}
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -154,7 +154,7 @@
 		}
 		peer := known[node.ControlAddr]
 		if peer == nil {
-			peer = &syncTarget{client: Dial(node.ControlAddr, r.options.Client)}
+			peer = &syncTarget{client: Dial(node.ControlAddr, r.options.Client), relay: true}
 		}
 		r.peers[node.ControlAddr] = peer
 	}
@@ -165,9 +165,11 @@
 	return list
 }
 
-// Working reports whether this node is one of the relays.
-func (r *Relay) Working() bool {
-	return r.state.isRelay()
+// Status tells what the relay does and holds.
+func (r *Relay) Status() RelayStatus {
+	synced, held := r.state.synced()
+	_, released := r.state.known()
+	return RelayStatus{Working: r.state.isRelay(), Synced: synced, Held: held, Released: released, Age: r.state.Age()}
 }
 
 // Relays returns the newest set of relays of the failure domain that is known, nil when there is none.
--- a/internal/distribution/relay_sync.go
+++ b/internal/distribution/relay_sync.go
@@ -8,10 +8,15 @@
 	apiv1 "samphireflow/api/v1"
 )
 
-// syncLoop tells one other process what changed here, and now and then that nothing did.
+// syncLoop tells one other process what changed here, and now and then that nothing did. What is held matters to
+// other relays only.
 func (r *Relay) syncLoop(ctx context.Context, to *syncTarget, sync func(context.Context, *syncTarget) error) error {
 	for ctx.Err() == nil {
-		told, changed := r.state.toldChannel(), r.hub.Changed()
+		changed := r.hub.Changed()
+		var told <-chan struct{}
+		if to.relay {
+			told = r.state.toldChannel()
+		}
 		if err := sync(ctx, to); err != nil {
 			r.options.Logger.Debug().Err(err).Str("to", to.client.Addr).Msg("sync failed")
 			pause(ctx, retryPause)
--- a/internal/distribution/sync_target.go
+++ b/internal/distribution/sync_target.go
@@ -11,6 +11,8 @@
 // syncTarget is another process that this one tells its leases. It belongs to one goroutine.
 type syncTarget struct {
 	client *Client
+	// relay is set for another relay, and not set for a control instance.
+	relay bool
 	// sent is the sync number up to which the target has the leases at home here; full asks to send all again.
 	sent uint64
 	full bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,11 @@
 	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
 }
 
+// Relay returns the state of the relay in this process.
+func (n *Node) Relay() distribution.RelayStatus {
+	return n.relay.Status()
+}
+
 // Ready reports whether the node has a configuration to serve by.
 func (n *Node) Ready() bool {
 	return n.table.Load() != nil
--- /dev/null
+++ b/internal/snapshot/filter_test.go
@@ -0,0 +1,61 @@
+package snapshot
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// drawSnapshot draws a snapshot without dangling references.
+func drawSnapshot(t *rapid.T, version uint64) *apiv1.Snapshot {
+	snap := &apiv1.Snapshot{Version: version, FailureDomain: "hobart"}
+	services := rapid.IntRange(1, 6).Draw(t, "services")
+	resources := rapid.IntRange(1, 3).Draw(t, "resources")
+	for i := range resources {
+		snap.Resources = append(snap.Resources, &apiv1.ResourceConfig{Name: fmt.Sprintf("budget%d", i)})
+	}
+	for i := range services {
+		service := &apiv1.ServiceConfig{Name: fmt.Sprintf("s%d", i)}
+		if rapid.Bool().Draw(t, "falls back") {
+			service.Fallback = fmt.Sprintf("s%d", rapid.IntRange(0, services-1).Draw(t, "fallback"))
+		}
+		snap.Services = append(snap.Services, service)
+		for j := range rapid.IntRange(0, 2).Draw(t, "routes") {
+			route := &apiv1.RouteConfig{Name: fmt.Sprintf("s%d/r%d", i, j), Service: service.Name}
+			if rapid.Bool().Draw(t, "limited") {
+				route.RateLimit = fmt.Sprintf("budget%d", rapid.IntRange(0, resources-1).Draw(t, "budget"))
+			}
+			snap.Routes = append(snap.Routes, route)
+		}
+	}
+	snap.Digest = Digest(snap)
+	return snap
+}
+
+// TestFilterKeepsTheClosureOfReferences takes parts of snapshots: each must hold the wanted services and pass the
+// check, and a delta between the parts of two versions must lead from one to the other.
+func TestFilterKeepsTheClosureOfReferences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := drawSnapshot(t, 1), drawSnapshot(t, 2)
+		wanted := rapid.SliceOfN(rapid.SampledFrom([]string{"s0", "s1", "s2", "s3"}), 1, 3).Draw(t, "wanted")
+		from, to := Filter(first, wanted), Filter(second, wanted)
+		require.NoError(t, Check(from))
+		require.NoError(t, Check(to))
+		held := map[string]bool{}
+		for _, service := range to.Services {
+			held[service.Name] = true
+		}
+		for _, service := range second.Services {
+			for _, name := range wanted {
+				require.False(t, service.Name == name && !held[name], "%s is missing", name)
+			}
+		}
+		got, err := Apply(from, Diff(from, to))
+		require.NoError(t, err)
+		require.Equal(t, to.Digest, got.Digest)
+	})
+}
