--- a/internal/distribution/relay_sync.go
+++ b/internal/distribution/relay_sync.go
@@ -18,7 +18,7 @@
 			told = r.state.toldChannel()
 		}
 		if err := sync(ctx, to); err != nil {
-			r.options.Logger.Debug().Err(err).Str("to", to.client.Addr).Msg("sync failed")
+			r.options.Logger.Debug().Err(err).Str("relay", to.client.Addr).Msg("sync failed")
 			pause(ctx, retryPause)
 		}
 		waitForNews(ctx, told, changed, r.interval(to))
