--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -8,41 +8,8 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
-	"samphireflow/internal/member"
 )
 
-// announcement is the last word of the backend server beside this node.
-type announcement struct {
-	server  *apiv1.BackendServer
-	expires time.Time
-}
-
-// Announce takes the heartbeat of the backend server beside this node (twirp service Membership).
-func (n *Node) Announce(_ context.Context, request *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
-	if request.Server == nil || request.Server.Instance == "" {
-		return nil, errNoServer
-	}
-	request.Server.Node = n.options.Instance
-	request.Server.NodeControlAddr = n.options.ControlAddr
-	if n.takeAnnouncement(request.Server) {
-		n.revise()
-		n.wakeRenewal()
-	}
-	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
-}
-
-// takeAnnouncement reports whether the backend server announced something new. Its load is no news: it travels on
-// its answers.
-func (n *Node) takeAnnouncement(server *apiv1.BackendServer) bool {
-	server.InFlight = 0
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	known := n.announced
-	n.announced = &announcement{server: server, expires: now.Add(member.LeaseTime)}
-	return known == nil || now.After(known.expires) || !proto.Equal(known.server, server)
-}
-
 func (n *Node) wakeRenewal() {
 	select {
 	case n.renewNow <- struct{}{}:
@@ -94,18 +61,52 @@
 func (n *Node) renewOnce(ctx context.Context, to *distribution.Client, leaving bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	response, err := to.Membership.Renew(ctx, n.renewRequest(leaving))
+	request := n.renewRequest(leaving)
+	revision := request.Node.Revision
+	if n.renewed.home == to && n.renewed.revision == revision && !leaving {
+		request = unchanged(request)
+	}
+	response, err := to.Membership.Renew(ctx, request)
+	n.renewed = renewal{}
 	if err != nil {
 		n.options.Logger.Debug().Err(err).Str("upstream", to.Addr).Msg("lease renewal failed")
 		return false
 	}
-	if response.RefutedRevision > 0 && !leaving {
+	switch {
+	case leaving:
+	case response.RefutedRevision > 0:
 		n.exceed(response.RefutedRevision)
 		n.wakeRenewal()
+	case response.WantWhole:
+		n.wakeRenewal()
+	default:
+		n.renewed = renewal{home: to, revision: revision}
 	}
 	return true
 }
 
+// renewal is a renewal that was answered.
+type renewal struct {
+	home     *distribution.Client
+	revision uint64
+}
+
+// unchanged returns the short form of a renewal whose records the home has.
+func unchanged(request *apiv1.RenewRequest) *apiv1.RenewRequest {
+	short := &apiv1.RenewRequest{
+		Node: &apiv1.NodeInfo{
+			Instance:    request.Node.Instance,
+			Incarnation: request.Node.Incarnation,
+			Revision:    request.Node.Revision,
+		},
+		Unchanged: true,
+	}
+	for _, server := range request.Servers {
+		short.UnchangedServers = append(short.UnchangedServers, server.Instance)
+	}
+	return short
+}
+
 func (n *Node) renewRequest(leaving bool) *apiv1.RenewRequest {
 	status := n.Status()
 	n.mu.Lock()
@@ -129,8 +130,8 @@
 	if version, refusal := n.relay.Refused(); request.Node.RefusedVersion == 0 {
 		request.Node.RefusedVersion, request.Node.Refusal = version, refusal
 	}
-	if n.announced != nil && time.Now().Before(n.announced.expires) {
-		server := proto.Clone(n.announced.server).(*apiv1.BackendServer)
+	if told := n.told(time.Now()); told != nil {
+		server := proto.Clone(told).(*apiv1.BackendServer)
 		server.Revision = n.revision
 		request.Servers = append(request.Servers, server)
 	}
