--- a/internal/deployment/traffic.go
+++ b/internal/deployment/traffic.go
@@ -15,7 +15,7 @@
 	// callersPerDomain is the number of callers that call at the same time from one failure domain.
 	callersPerDomain = 4
 	// callsPerSecond is the rate of calls from one failure domain.
-	callsPerSecond = 100
+	callsPerSecond = 150
 	// callerTimeout is the time after which a caller gives up.
 	callerTimeout = 5 * time.Second
 )
