Notice in the demo a process that ends by itself

Cause: after the start nobody looked at the ends of processes, so that a panic on the way would have passed unseen if the calls went on.

--- a/internal/deployment/demo.go
+++ b/internal/deployment/demo.go
@@ -62,6 +62,7 @@
 		d.drive(ctx)
 		d.traffic.stop()
 		d.do(ctx, step{"every answer is whole and belongs to its request", d.stepAnswers})
+		d.do(ctx, step{"no process ended that was not told to", d.stepRan})
 		d.do(ctx, step{"no booking ran twice, none that was told not-run ran", d.stepRuns})
 	}
 	d.do(ctx, step{"every process that the demo started has ended", d.stepStop})
--- a/internal/deployment/demo_processes.go
+++ b/internal/deployment/demo_processes.go
@@ -21,6 +21,13 @@
 	return fmt.Sprintf("%d processes, %s", len(d.Processes()), seconds(time.Since(started))), nil
 }
 
+func (d *demo) stepRan(context.Context) (string, error) {
+	if err := d.CheckRunning(); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d processes, 2 of them killed", len(d.Processes())), nil
+}
+
 func (d *demo) stepStop(context.Context) (string, error) {
 	started := time.Now()
 	if err := d.Stop(); err != nil {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -171,6 +171,20 @@
 	}
 }
 
+// CheckRunning returns an error if a process has ended by itself since the last look.
+func (d *Deployment) CheckRunning() error {
+	for {
+		select {
+		case ended := <-d.launcher.exits:
+			if !d.isExpected(ended.process) {
+				return d.launcher.failure(ended)
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 func (d *Deployment) isExpected(process Process) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -144,3 +144,15 @@
 	unlock()
 	require.NoError(t, Down(dir, &strings.Builder{}))
 }
+
+func TestProcessThatEndsByItselfIsNoticed(t *testing.T) {
+	d, err := New(Ploughline(), t.TempDir(), t.TempDir())
+	require.NoError(t, err)
+	require.NoError(t, d.CheckRunning())
+	process := Process{Role: RoleNode, Instance: "short", Argv: []string{"/bin/sh", "-c", "echo last words; exit 7"}}
+	require.NoError(t, d.startAll([]Process{process}))
+	require.Eventually(t, func() bool { return len(d.launcher.exits) == 1 }, startTimeout, pollInterval)
+	err = d.CheckRunning()
+	require.ErrorContains(t, err, "node-short ended early: exit status 7")
+	require.ErrorContains(t, err, "last words")
+}
