Make two faults at the same time in the proof of the whole system

Cause: faults come together or twice; the injector made one after the other. Change: two injectors work at once on processes that they reserve; cuts take turns, as they replace each other.

--- a/test/whole/faults_test.go
+++ b/test/whole/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,12 +18,37 @@
 	maxFaultTime = 5 * time.Second
 )
 
+// reserved keeps injectors that work at the same time from making two faults of one process, or two cuts.
+type reserved struct {
+	mu        sync.Mutex
+	instances map[string]bool
+	cuts      sync.Mutex
+}
+
+// take reserves the instance of a process until it is given back. It reports whether it was free.
+func (r *reserved) take(process deployment.Process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.instances[process.Instance] {
+		return false
+	}
+	r.instances[process.Instance] = true
+	return true
+}
+
+func (r *reserved) giveBack(process deployment.Process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.instances, process.Instance)
+}
+
 // injector makes one fault after the other, chosen by a seed.
 type injector struct {
-	t      *testing.T
-	d      *deployment.Deployment
-	random *rand.Rand
-	log    []string
+	t        *testing.T
+	d        *deployment.Deployment
+	random   *rand.Rand
+	reserved *reserved
+	count    int
 }
 
 // run makes faults until the time is over, and leaves nothing stopped, frozen or cut.
@@ -42,13 +68,19 @@
 	}
 }
 
+// pick reserves a process that no other injector is at work on.
 func (i *injector) pick(role deployment.Role) deployment.Process {
 	list := harness.ByRole(i.d, role)
-	return list[i.random.IntN(len(list))]
+	for {
+		process := list[i.random.IntN(len(list))]
+		if i.reserved.take(process) {
+			return process
+		}
+	}
 }
 
 func (i *injector) note(what string, process deployment.Process) {
-	i.log = append(i.log, what+" "+process.Instance)
+	i.count++
 	i.t.Logf("%s: %s %s %s", time.Now().Format("15:04:05.000"), what, process.Role, process.Instance)
 }
 
@@ -59,6 +91,7 @@
 }
 
 func (i *injector) crash(ctx context.Context, process deployment.Process, lasting time.Duration) {
+	defer i.reserved.giveBack(process)
 	i.note("crash", process)
 	i.check(i.d.Kill(process))
 	sleep(ctx, lasting)
@@ -81,6 +114,7 @@
 // stopPair stops a backend server and the node beside it as the platform does at a replacement.
 func (i *injector) stopPair(ctx context.Context, lasting time.Duration) {
 	server := i.pick(deployment.RoleBackendServer)
+	defer i.reserved.giveBack(server)
 	node := server
 	for _, process := range harness.ByRole(i.d, deployment.RoleNode) {
 		if process.Instance == server.Instance {
@@ -100,6 +134,7 @@
 func (i *injector) freeze(ctx context.Context, lasting time.Duration) {
 	roles := []deployment.Role{deployment.RoleNode, deployment.RoleControl, deployment.RoleBackendServer}
 	process := i.pick(roles[i.random.IntN(len(roles))])
+	defer i.reserved.giveBack(process)
 	i.note("freeze", process)
 	i.check(i.d.Freeze(process))
 	sleep(ctx, lasting)
@@ -107,7 +142,10 @@
 }
 
 func (i *injector) cutDomain(ctx context.Context, lasting time.Duration) {
-	process := i.pick(deployment.RoleNode)
+	i.reserved.cuts.Lock()
+	defer i.reserved.cuts.Unlock()
+	nodes := harness.ByRole(i.d, deployment.RoleNode)
+	process := nodes[i.random.IntN(len(nodes))]
 	i.note("cut the domain of", process)
 	i.check(i.d.CutDomains(ctx, process.FailureDomain))
 	sleep(ctx, lasting)
@@ -116,7 +154,10 @@
 
 // cutOneWay lets one control instance receive but not send.
 func (i *injector) cutOneWay(ctx context.Context, lasting time.Duration) {
-	process := i.pick(deployment.RoleControl)
+	i.reserved.cuts.Lock()
+	defer i.reserved.cuts.Unlock()
+	controls := harness.ByRole(i.d, deployment.RoleControl)
+	process := controls[i.random.IntN(len(controls))]
 	i.note("cut what leaves", process)
 	i.check(i.d.Cut(ctx, process, i.d.Processes()...))
 	sleep(ctx, lasting)
--- a/test/whole/whole_test.go
+++ b/test/whole/whole_test.go
@@ -25,6 +25,8 @@
 	// callersPerDomain and operators work at the same time.
 	callersPerDomain = 3
 	operators        = 3
+	// injectorCount is the number of faults that may last at the same time.
+	injectorCount = 2
 	// inForceTime is the time within which an accepted edit is in force everywhere.
 	inForceTime = 11 * time.Second
 	// healTime bounds the wait for the last edit once the faults have ended.
@@ -69,8 +71,7 @@
 		editing.Go(func() { require.NoError(t, newOperator(i, d, seed, h).run(ctx, stopEdits)) })
 	}
 
-	faults := &injector{t: t, d: d, random: rand.New(rand.NewPCG(seed, 1))}
-	faults.run(ctx, time.Now().Add(faultTime))
+	faults := makeFaults(ctx, t, d, seed)
 
 	close(stopEdits)
 	editing.Wait()
@@ -80,7 +81,7 @@
 	work.Wait()
 
 	t.Logf("seed %d: %d faults, %d attempts of callers, %d done, %d operations of operators, last edit in force after %s",
-		seed, len(faults.log), l.calls, l.good, len(h.list), took)
+		seed, faults, l.calls, l.good, len(h.list), took)
 	runs, err := d.CountRuns(ctx)
 	require.NoError(t, err)
 	require.Empty(t, l.breaches(runs), "outcomes told against executions")
@@ -88,6 +89,26 @@
 	require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(branchModel, h.list, time.Minute), "history of edits and reads")
 }
 
+// makeFaults lets injectors work at the same time and returns the number of faults that they made.
+func makeFaults(ctx context.Context, t *testing.T, d *deployment.Deployment, seed uint64) int {
+	t.Helper()
+	until := time.Now().Add(faultTime)
+	free := &reserved{instances: map[string]bool{}}
+	var injectors []*injector
+	var work sync.WaitGroup
+	for number := range uint64(injectorCount) {
+		i := &injector{t: t, d: d, random: rand.New(rand.NewPCG(seed, number+1)), reserved: free}
+		injectors = append(injectors, i)
+		work.Go(func() { i.run(ctx, until) })
+	}
+	work.Wait()
+	faults := 0
+	for _, i := range injectors {
+		faults += i.count
+	}
+	return faults
+}
+
 // acceptLastEdit makes an edit once the faults have ended and returns its version.
 func acceptLastEdit(ctx context.Context, t *testing.T, d *deployment.Deployment) uint64 {
 	t.Helper()
