Prove the control group with real processes; serve its members

Cause: the histories ran in one process only. First tries: with 590 and 707 operations porcupine gave up (unknown) after 60 s, because each lost answer stayed open for ever. Change: the attempts of one edit are one operation, edits left open are sent again once the faults are over (each must get an answer), and attempts without effect are left out: an effect that no operation explains makes the history illegal all the same. Operators of real processes keep a pace and a fault lasts at least 2 s, since at full speed the run was over before the first fault.

--- a/api/v1/distribution.twirp.go
+++ b/api/v1/distribution.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *distributionServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *distributionServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Distribution")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1410 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xd4, 0x57, 0xcb, 0x6e, 0x1c, 0xb7,
 	0x12, 0xbd, 0xf3, 0x9e, 0xa9, 0x79, 0x9a, 0xd7, 0x96, 0x5b, 0xb2, 0x25, 0xcb, 0x03, 0xf8, 0x5e,
--- a/api/v1/membership.twirp.go
+++ b/api/v1/membership.twirp.go
@@ -1063,7 +1063,7 @@
 }
 
 func (s *membershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *membershipServer) ProtocGenTwirpVersion() string {
@@ -1837,7 +1837,7 @@
 }
 
 func (s *inspectServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 1
+	return twirpFileDescriptor3, 1
 }
 
 func (s *inspectServer) ProtocGenTwirpVersion() string {
@@ -2332,7 +2332,7 @@
 }
 
 func (s *statusServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 2
+	return twirpFileDescriptor3, 2
 }
 
 func (s *statusServer) ProtocGenTwirpVersion() string {
@@ -2346,7 +2346,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Status")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 956 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x56, 0x4d, 0x6f, 0x1b, 0x45,
 	0x18, 0xd6, 0xc6, 0xf6, 0xee, 0xfa, 0x4d, 0x9c, 0xb4, 0x43, 0x14, 0x1c, 0x57, 0x6d, 0xdc, 0x2d,
--- a/api/v1/move.twirp.go
+++ b/api/v1/move.twirp.go
@@ -1341,7 +1341,7 @@
 }
 
 func (s *movesServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *movesServer) ProtocGenTwirpVersion() string {
@@ -1355,7 +1355,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Moves")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 940 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0xdd, 0x72, 0xda, 0x46,
 	0x14, 0xae, 0xf8, 0x35, 0x07, 0x03, 0x62, 0x93, 0xd8, 0x32, 0xa9, 0x67, 0x88, 0xda, 0xa4, 0x34,
--- a/api/v1/replication.twirp.go
+++ b/api/v1/replication.twirp.go
@@ -783,7 +783,7 @@
 }
 
 func (s *replicationServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *replicationServer) ProtocGenTwirpVersion() string {
@@ -797,7 +797,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Replication")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 897 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0xcb, 0x93, 0xe2, 0x44,
 	0x18, 0x37, 0x10, 0x5e, 0x5f, 0xd8, 0x31, 0xdb, 0xee, 0xb2, 0x99, 0x97, 0x8b, 0xf1, 0x42, 0xed,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,6 +145,8 @@
 		d.control.Register(mux)
 		replication := apiv1.NewReplicationServer(d.replica.Server())
 		mux.Handle(replication.PathPrefix(), replication)
+		members := apiv1.NewControlMembersServer(d.replica.MembersServer())
+		mux.Handle(members.PathPrefix(), members)
 	}
 	if d.node != nil {
 		inspect := apiv1.NewInspectServer(d.node)
--- a/test/control/history_test.go
+++ b/test/control/history_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -44,49 +43,51 @@
 func checkHistory(t *testing.T, seed uint64, size, operations int) {
 	g := startGroup(t, seed, size)
 	defer g.close()
-	h := &history{start: time.Now(), accepted: map[string]uint64{}, done: make(chan struct{})}
-	var running sync.WaitGroup
-	for id := 0; id < operators; id++ {
-		o := &operator{id: id, group: g, history: h, random: rand.New(rand.NewPCG(seed, uint64(10+id)))}
-		running.Go(func() { o.run(operations) })
-	}
-	go func() {
-		running.Wait()
-		close(h.done)
-	}()
+	h := newHistory()
+	startOperators(h, groupService{g}, seed, operations, rate.Inf)
 	f := &faults{group: g, counts: map[string]int{}}
-	injectFaults(f, h)
+	injectFaults(f.next, h, 0)
 	g.heal()
 	g.awaitVoters()
+	h.resolve(t, groupService{g}, seed)
+	g.awaitVoters()
 	checkStates(t, g, h)
-	result, info := porcupine.CheckOperationsVerbose(porcupineModel, h.operations, checkTimeout)
+	checkLinearizable(t, h, seed, 0)
+	t.Logf("%d operations, %d edits accepted, faults %v", len(h.operations), len(h.accepted), f.counts)
+}
+
+// checkLinearizable checks the answers against the model, starting at a version.
+func checkLinearizable(t *testing.T, h *history, seed, version uint64) {
+	model := modelFrom(version)
+	result, info := porcupine.CheckOperationsVerbose(model, h.operations, checkTimeout)
 	if result != porcupine.Ok {
 		path := fmt.Sprintf("%s/history-%d.html", os.TempDir(), seed)
-		_ = porcupine.VisualizePath(porcupineModel, info, path)
+		_ = porcupine.VisualizePath(model, info, path)
 		t.Fatalf("the history of %d operations is %s; see %s", len(h.operations), result, path)
 	}
-	t.Logf("%d operations, %d edits accepted, faults %v", len(h.operations), len(h.accepted), f.counts)
 }
 
-// injectFaults makes a fault after every few answers until the operators are done.
-func injectFaults(f *faults, h *history) {
+// injectFaults makes a fault after every few answers, but not before a fault has lasted for a time, until the
+// operators are done.
+func injectFaults(fault func(), h *history, lasting time.Duration) {
 	next := make(chan struct{}, 1)
 	go func() {
 		defer close(next)
-		count := 0
+		count, last := 0, time.Now()
 		for range h.done {
 			count++
-			if count%operationsPerFault != 0 {
+			if count < operationsPerFault || time.Since(last) < lasting {
 				continue
 			}
 			select {
 			case next <- struct{}{}:
+				count, last = 0, time.Now()
 			default:
 			}
 		}
 	}()
 	for range next {
-		f.next()
+		fault()
 	}
 }
 
--- a/test/control/model_test.go
+++ b/test/control/model_test.go
@@ -15,6 +15,8 @@
 	editID string
 	branch int
 	base   uint64
+	// resent is set when an earlier answer to the edit was lost.
+	resent bool
 }
 
 // answer is what the operator is told.
@@ -32,6 +34,15 @@
 	branches [branchCount]uint64
 }
 
+// final reports whether the answer tells what became of the request.
+func (a answer) final() bool {
+	switch a.outcome {
+	case apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT, apiv1.EditOutcome_EDIT_OUTCOME_INVALID:
+		return true
+	}
+	return false
+}
+
 // treeModel is the tree as operators should see it.
 type treeModel struct {
 	version  uint64
@@ -42,15 +53,13 @@
 
 // step tells whether an answer is right in a state, and the state after it.
 func (m treeModel) step(in request, out answer) (bool, treeModel) {
-	if out.outcome == apiv1.EditOutcome_EDIT_OUTCOME_NOT_ACCEPTED {
-		return true, m
-	}
 	if in.read {
-		return out.unknown || (out.version == m.version && out.branches == m.branches), m
+		return out.version == m.version && out.branches == m.branches, m
 	}
 	want, next := m.edit(in)
-	if out.unknown {
-		return true, next
+	if in.resent {
+		// The lost answer may have been the first one.
+		out.repeated = want.repeated
 	}
 	return out == want, next
 }
@@ -72,14 +81,17 @@
 	return want, m
 }
 
-var porcupineModel = porcupine.Model{
-	Init: func() any { return treeModel{answers: map[string]answer{}} },
-	Step: func(state, input, output any) (bool, any) {
-		return state.(treeModel).step(input.(request), output.(answer))
-	},
-	Equal: func(a, b any) bool {
-		left, right := a.(treeModel), b.(treeModel)
-		return left.version == right.version && left.branches == right.branches && maps.Equal(left.answers, right.answers)
-	},
-	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+// modelFrom returns the model of a tree that starts at a version without any of the branches.
+func modelFrom(version uint64) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return treeModel{version: version, answers: map[string]answer{}} },
+		Step: func(state, input, output any) (bool, any) {
+			return state.(treeModel).step(input.(request), output.(answer))
+		},
+		Equal: func(a, b any) bool {
+			left, right := a.(treeModel), b.(treeModel)
+			return left.version == right.version && left.branches == right.branches && maps.Equal(left.answers, right.answers)
+		},
+		DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+	}
 }
--- a/test/control/operator_test.go
+++ b/test/control/operator_test.go
@@ -5,15 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/replica"
-	"samphireflow/internal/state"
 	"samphireflow/internal/tree"
 )
 
@@ -21,46 +20,90 @@
 	branchCount = 3
 	// maxResends bounds how often an operator sends an edit again after a lost answer.
 	maxResends = 4
+	// maxFinalResends bounds how often an open edit is sent again after the faults.
+	maxFinalResends = 200
 )
 
 func branchPath(branch int) string { return fmt.Sprint("/sites/s", branch) }
 
+// openEdit is an edit that was sent and not answered.
+type openEdit struct {
+	client int
+	in     request
+	call   int64
+}
+
 // history collects what operators asked and were told.
 type history struct {
 	mu         sync.Mutex
 	start      time.Time
 	operations []porcupine.Operation
 	accepted   map[string]uint64
-	// done gets a value for each finished operation.
+	open       []openEdit
+	// done gets a value for each answer.
 	done chan struct{}
 }
 
+func newHistory() *history {
+	return &history{start: time.Now(), accepted: map[string]uint64{}, done: make(chan struct{})}
+}
+
+func (h *history) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.operations)
+}
+
 func (h *history) now() int64 { return time.Since(h.start).Nanoseconds() }
 
+// add takes an operation. Operations without any effect are left out by the caller: if one had an effect after all,
+// no operation of the history would explain it.
 func (h *history) add(client int, in request, call int64, out answer) {
 	h.mu.Lock()
-	operation := porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: h.now()}
-	if out.unknown {
-		// It may take effect at any later time.
-		operation.Return = int64(time.Hour)
-	}
-	if !out.unknown || !in.read {
-		h.operations = append(h.operations, operation)
-	}
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: h.now()})
 	if out.outcome == apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED {
 		h.accepted[in.editID] = out.version
 	}
-	h.mu.Unlock()
-	h.done <- struct{}{}
 }
 
-// operator edits, resends and reads at random instances.
+// leaveOpen notes an edit whose fate no answer has told yet.
+func (h *history) leaveOpen(client int, in request, call int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open = append(h.open, openEdit{client, in, call})
+}
+
+// resolve sends the open edits again once all faults are over: each gets an answer then.
+func (h *history) resolve(t *testing.T, s service, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 4))
+	for _, edit := range h.open {
+		var out answer
+		for i := 0; i < maxFinalResends && !out.final(); i++ {
+			out = s.edit(random, edit.in)
+		}
+		require.True(t, out.final(), "%+v has no answer", edit.in)
+		h.add(edit.client, edit.in, edit.call, out)
+	}
+}
+
+// service is the control group as an operator sees it.
+type service interface {
+	// edit sends an edit to a random instance, once.
+	edit(random *rand.Rand, in request) answer
+	// read makes a linearizable read at a random instance.
+	read(random *rand.Rand) answer
+}
+
+// operator edits, resends and reads.
 type operator struct {
 	id      int
-	group   *group
+	service service
 	history *history
 	random  *rand.Rand
-	edits   int
+	// pace bounds the rate of its operations.
+	pace  *rate.Limiter
+	edits int
 	// seen are the versions of the branches that the operator believes in.
 	seen [branchCount]uint64
 	// past holds the operator's own edits, answered or not.
@@ -68,7 +111,10 @@
 }
 
 func (o *operator) run(operations int) {
-	for o.edits = 0; o.edits < operations; o.edits++ {
+	for o.edits = 0; o.history.count() < operators*operations; o.edits++ {
+		if err := o.pace.Wait(context.Background()); err != nil {
+			panic(err)
+		}
 		switch choice := o.random.IntN(10); {
 		case choice < 3:
 			o.read()
@@ -82,109 +128,75 @@
 	}
 }
 
-// edit sends an edit until it has an answer, at most a few times.
+// edit sends an edit until it has an answer, at most a few times. The attempts are one operation of the history: an
+// edit has its effect at most once, at some time between the first call and the last answer.
 func (o *operator) edit(in request) {
+	call := o.history.now()
+	var out answer
 	for i := 0; i < maxResends; i++ {
-		call := o.history.now()
-		out := o.attempt(in)
-		if out.outcome == apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED && !out.repeated {
-			o.seen[in.branch] = out.version
-		}
-		if out.outcome == apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT && !out.repeated {
-			o.seen[in.branch] = out.current
+		out = o.service.edit(o.random, in)
+		o.history.done <- struct{}{}
+		in.resent = in.resent || out.unknown
+		if out.final() {
+			break
 		}
+	}
+	if out.outcome == apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED && !out.repeated {
+		o.seen[in.branch] = out.version
+	}
+	if out.outcome == apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT && !out.repeated {
+		o.seen[in.branch] = out.current
+	}
+	switch {
+	case out.final():
 		o.history.add(o.id, in, call, out)
-		if !out.unknown && out.outcome != apiv1.EditOutcome_EDIT_OUTCOME_NOT_ACCEPTED {
-			return
-		}
+	case in.resent:
+		o.history.leaveOpen(o.id, in, call)
+	}
+}
+
+func (o *operator) read() {
+	call := o.history.now()
+	out := o.service.read(o.random)
+	o.history.done <- struct{}{}
+	if out.unknown {
+		return
 	}
+	o.seen = out.branches
+	o.history.add(o.id, request{read: true}, call, out)
 }
 
-func (o *operator) attempt(in request) answer {
-	command := &apiv1.Command{Kind: &apiv1.Command_Edit{Edit: &apiv1.EditRequest{
+// editRequest makes the same request for the same edit ID, byte for byte.
+func editRequest(in request) *apiv1.EditRequest {
+	return &apiv1.EditRequest{
 		EditId:   in.editID,
-		Operator: fmt.Sprint("o", o.id),
+		Operator: "operator",
 		Branches: []*apiv1.BranchEdit{{
 			Path:        branchPath(in.branch),
 			BaseVersion: in.base,
 			Changes:     []*apiv1.Change{{Key: tree.KeyCallTimeout, Value: "250ms"}},
 		}},
-	}}}
-	data, err := proto.Marshal(command)
-	if err != nil {
-		panic(err)
-	}
-	encoded, err := o.propose(data)
-	if err == nil {
-		return editAnswer(encoded)
-	}
-	if errors.Is(err, replica.ErrNotLeader) || errors.Is(err, replica.ErrNoQuorum) || errors.Is(err, replica.ErrClosed) || errors.Is(err, replica.ErrStopped) {
-		return answer{outcome: apiv1.EditOutcome_EDIT_OUTCOME_NOT_ACCEPTED}
 	}
-	return answer{unknown: true}
 }
 
-// propose asks a random instance and follows its word on who leads, once.
-func (o *operator) propose(data []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
-	defer cancel()
-	running, _ := o.group.instances[o.random.IntN(len(o.group.instances))].running()
-	if running == nil {
-		return nil, replica.ErrClosed
-	}
-	result, err := running.Propose(ctx, data)
-	leader, known := replica.LeaderOf(err)
-	if !known {
-		return result, err
-	}
-	for _, i := range o.group.instances {
-		if next, _ := i.running(); next != nil && i.name == leader.ID {
-			return next.Propose(ctx, data)
-		}
-	}
-	return nil, err
-}
-
-func editAnswer(encoded []byte) answer {
-	result := &apiv1.CommandResult{}
-	if err := proto.Unmarshal(encoded, result); err != nil {
-		panic(err)
-	}
-	out := answer{outcome: result.Edit.Outcome, version: result.Edit.Version, repeated: result.Edit.RepeatedAnswer}
-	for _, conflict := range result.Edit.Conflicts {
+func answerOf(response *apiv1.EditResponse) answer {
+	out := answer{outcome: response.Outcome, version: response.Version, repeated: response.RepeatedAnswer}
+	for _, conflict := range response.Conflicts {
 		out.current = conflict.CurrentVersion
 		out.wonBy = conflict.WonByEdit
 	}
 	return out
 }
 
-func (o *operator) read() {
-	running, machine := o.group.instances[o.random.IntN(len(o.group.instances))].running()
-	if running == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
-	defer cancel()
-	call := o.history.now()
-	if running.ReadIndex(ctx) != nil {
-		o.history.add(o.id, request{read: true}, call, answer{unknown: true})
-		return
-	}
-	out := readView(machine.View())
-	o.seen = out.branches
-	o.history.add(o.id, request{read: true}, call, out)
-}
-
-func readView(view *state.View) answer {
-	out := answer{version: view.Version}
-	for i := range out.branches {
-		path, err := tree.ParsePath(branchPath(i))
-		if err != nil {
-			panic(err)
-		}
-		if branch := view.Tree.Branch(path); branch != nil {
-			out.branches[i] = branch.Version
-		}
-	}
-	return out
+// startOperators runs operators and closes the history when all are done.
+func startOperators(h *history, s service, seed uint64, operations int, pace rate.Limit) {
+	var running sync.WaitGroup
+	for id := 0; id < operators; id++ {
+		o := &operator{id: id, service: s, history: h, random: rand.New(rand.NewPCG(seed, uint64(10+id))), pace: rate.NewLimiter(pace, 1)}
+		running.Go(func() { o.run(operations) })
+	}
+	go func() {
+		running.Wait()
+		close(h.done)
+	}()
 }
--- /dev/null
+++ b/test/control/process_test.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/deployment"
+	"samphireflow/test/harness"
+)
+
+// repairTimeout bounds the time in which a blank instance becomes a voter again.
+const repairTimeout = 30 * time.Second
+
+// faultTime is how long a fault lasts at least: longer than an election.
+const faultTime = 2 * time.Second
+
+// operatorPace is the rate of one operator's edits and reads, per second.
+const operatorPace = 20
+
+// controlLayout has control instances only, each in a failure domain of its own.
+func controlLayout(size int) deployment.Layout {
+	layout := deployment.Layout{Name: "control"}
+	for i := 0; i < size; i++ {
+		name := fmt.Sprint("domain-", i)
+		layout.Domains = append(layout.Domains, deployment.Domain{Name: name, Region: "south"})
+		layout.ControlDomains = append(layout.ControlDomains, name)
+	}
+	return layout
+}
+
+// processFaults makes one seeded fault after another on real processes.
+type processFaults struct {
+	t        *testing.T
+	ctx      context.Context
+	d        *deployment.Deployment
+	random   *rand.Rand
+	controls []deployment.Process
+	// undo ends the last fault.
+	undo   func()
+	counts map[string]int
+}
+
+func (f *processFaults) next() {
+	f.undo()
+	victim := f.random.IntN(len(f.controls))
+	second := (victim + 1) % len(f.controls)
+	kinds := []string{"kill", "freeze", "cut out", "cut in", "cut off", "blank disk", "kill all"}
+	kind := kinds[f.random.IntN(len(kinds))]
+	f.counts[kind]++
+	switch kind {
+	case "kill":
+		f.kill(victim)
+		f.undo = func() { f.startAgain(victim) }
+	case "kill all":
+		f.undo = func() {}
+		for i := range f.controls {
+			f.kill(i)
+		}
+		for i := range f.controls {
+			f.startAgain(i)
+		}
+	case "freeze":
+		require.NoError(f.t, f.d.Freeze(f.controls[victim]))
+		f.undo = func() { require.NoError(f.t, f.d.Thaw(f.controls[victim])) }
+	case "cut out":
+		f.cut(victim, true, false)
+	case "cut in":
+		f.cut(victim, false, true)
+	case "cut off":
+		f.cut(victim, true, true)
+	case "blank disk":
+		f.undo = func() {}
+		f.awaitVoters()
+		f.blank(victim)
+		f.awaitVoters()
+		f.blank(second)
+	}
+}
+
+func (f *processFaults) kill(i int) {
+	require.NoError(f.t, f.d.Kill(f.controls[i]))
+}
+
+func (f *processFaults) startAgain(i int) {
+	process, err := f.d.StartAgain(f.controls[i])
+	require.NoError(f.t, err)
+	f.controls[i] = process
+	harness.Eventually(f.ctx, f.t, process.Instance+" listens", repairTimeout, func() bool {
+		response, err := http.Get("http://" + process.AdminAddr + "/readyz")
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil
+	})
+}
+
+func (f *processFaults) blank(i int) {
+	f.kill(i)
+	require.NoError(f.t, f.d.BlankDisk(f.controls[i]))
+	f.startAgain(i)
+}
+
+// cut cuts an instance's sending side, its receiving side, or both.
+func (f *processFaults) cut(victim int, out, in bool) {
+	for i, from := range f.controls {
+		var to []deployment.Process
+		for j, other := range f.controls {
+			if (i == victim && out && j != i) || (j == victim && in && j != i) {
+				to = append(to, other)
+			}
+		}
+		require.NoError(f.t, f.d.Cut(f.ctx, from, to...))
+	}
+	f.undo = func() {
+		for _, from := range f.controls {
+			require.NoError(f.t, f.d.Cut(f.ctx, from))
+		}
+	}
+}
+
+// awaitVoters waits until every instance makes linearizable reads and is a voter.
+func (f *processFaults) awaitVoters() {
+	client := &http.Client{Timeout: callTimeout}
+	for _, control := range f.controls {
+		config := apiv1.NewConfigProtobufClient("http://"+control.ControlAddr, client)
+		members := apiv1.NewControlMembersProtobufClient("http://"+control.ControlAddr, client)
+		harness.Eventually(f.ctx, f.t, control.Instance+" votes", repairTimeout, func() bool {
+			if readClient(config).unknown {
+				return false
+			}
+			answer, err := members.List(f.ctx, &apiv1.ListControlMembersRequest{})
+			return err == nil && answer.Votes
+		})
+	}
+}
+
+// TestProcessHistory checks what operators were told while real control instances are killed, frozen, cut off and
+// lose their disks.
+func TestProcessHistory(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		seed := uint64(number("SAMPHIREFLOW_SEED", size))
+		t.Run(fmt.Sprintf("%d instances, seed %d", size, seed), func(t *testing.T) {
+			ctx, d := harness.Start(t, controlLayout(size))
+			f := &processFaults{t: t, ctx: ctx, d: d, random: rand.New(rand.NewPCG(seed, 2)), undo: func() {}, counts: map[string]int{}}
+			f.controls = harness.ByRole(d, deployment.RoleControl)
+			f.awaitVoters()
+			s := newProcessService(f.controls)
+			version := readClient(s.clients[0]).version
+			h := newHistory()
+			startOperators(h, s, seed, number("SAMPHIREFLOW_OPERATIONS", 200), operatorPace)
+			injectFaults(f.next, h, faultTime)
+			f.undo()
+			f.awaitVoters()
+			h.resolve(t, s, seed)
+			checkLinearizable(t, h, seed, version)
+			f.checkAccepted(s, h)
+			t.Logf("%d operations, %d edits accepted, faults %v", len(h.operations), len(h.accepted), f.counts)
+		})
+	}
+}
+
+// checkAccepted makes sure that every instance's history holds every accepted edit at its version.
+func (f *processFaults) checkAccepted(s *processService, h *history) {
+	for _, client := range s.clients {
+		response, err := client.History(f.ctx, &apiv1.HistoryRequest{Limit: uint32(len(h.operations) + 10)})
+		require.NoError(f.t, err)
+		versions := map[string]uint64{}
+		for _, entry := range response.Entries {
+			versions[entry.EditId] = entry.Version
+		}
+		for editID, version := range h.accepted {
+			require.Equal(f.t, version, versions[editID], editID)
+		}
+	}
+}
