--- a/api/v1/control_members.twirp.go
+++ b/api/v1/control_members.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *controlMembersServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *controlMembersServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "ControlMembers")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 521 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x53, 0x5f, 0x8f, 0xd2, 0x4e,
 	0x14, 0xfd, 0xf1, 0x67, 0xf9, 0x73, 0x7f, 0x8a, 0x64, 0xdc, 0xb8, 0x5d, 0x4a, 0x0c, 0x21, 0x9a,
--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -2,10 +2,16 @@
 
 import (
 	"samphireflow/internal/bench"
+	"samphireflow/internal/bench/distribution"
 	"samphireflow/internal/bench/moves"
+	"samphireflow/internal/bench/traffic"
 )
 
 // suites lists the measurements in the order in which they run.
 func suites() []bench.Suite {
-	return []bench.Suite{moves.Suite()}
+	return []bench.Suite{
+		{Name: "distribution", Run: distribution.Run},
+		moves.Suite(),
+		traffic.Suite(),
+	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireflow/internal/distribution"
 )
 
 const (
-	// shutdownTimeout is the time that requests in flight have at a planned stop.
-	shutdownTimeout = 30 * time.Second
+	// shutdownTimeout is the time that requests in flight have at a planned stop, longer than any call may take.
+	shutdownTimeout = 65 * time.Second
 	// readHeaderTimeout bounds the time in which the header of a request must arrive.
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes is the largest header of a request.
@@ -25,6 +27,7 @@
 		return errors.Wrapf(err, "listen on %s address", name)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server.Protocols = distribution.ServerProtocols()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
