Measure the control group

Change: make bench measures commits of 3, 5 and 7 instances at 1, 8 and 64 operators in turns with a plain synced file, the time without a leader over 30 kills, restarts after 10,000 edits, bytes on disk per edit and idle cost.

--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -2,6 +2,7 @@
 
 import (
 	"samphireflow/internal/bench"
+	"samphireflow/internal/bench/control"
 	"samphireflow/internal/bench/distribution"
 	"samphireflow/internal/bench/moves"
 	"samphireflow/internal/bench/traffic"
@@ -10,6 +11,7 @@
 // suites lists the measurements in the order in which they run.
 func suites() []bench.Suite {
 	return []bench.Suite{
+		{Name: "control", Run: control.Run},
 		{Name: "distribution", Run: distribution.Run},
 		moves.Suite(),
 		traffic.Suite(),
