--- a/api/v1/membership.twirp.go
+++ b/api/v1/membership.twirp.go
@@ -1063,7 +1063,7 @@
 }
 
 func (s *membershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *membershipServer) ProtocGenTwirpVersion() string {
@@ -1839,7 +1839,7 @@
 }
 
 func (s *relayServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 1
+	return twirpFileDescriptor4, 1
 }
 
 func (s *relayServer) ProtocGenTwirpVersion() string {
@@ -2613,7 +2613,7 @@
 }
 
 func (s *inspectServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 2
+	return twirpFileDescriptor4, 2
 }
 
 func (s *inspectServer) ProtocGenTwirpVersion() string {
@@ -3108,7 +3108,7 @@
 }
 
 func (s *statusServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 3
+	return twirpFileDescriptor4, 3
 }
 
 func (s *statusServer) ProtocGenTwirpVersion() string {
@@ -3122,7 +3122,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Status")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 1359 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x57, 0x5f, 0x6f, 0xdc, 0x44,
 	0x10, 0x97, 0x73, 0xff, 0x7c, 0x73, 0xb9, 0x24, 0x5d, 0x42, 0xb9, 0x5c, 0x9b, 0xe6, 0xea, 0xf2,
