--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -10,6 +10,6 @@
 func suites() []bench.Suite {
 	return []bench.Suite{
 		{Name: "distribution", Run: distribution.Run},
-		moves.Suite(),
+		moves.Suite(), moves.SimpleSuite(),
 	}
 }
--- a/internal/bench/moves/suite.go
+++ b/internal/bench/moves/suite.go
@@ -24,6 +24,17 @@
 	}}
 }
 
+// SimpleSuite measures the same moves under a simple judge of thresholds, to compare with.
+func SimpleSuite() bench.Suite {
+	return bench.Suite{Name: "moves-threshold", Run: func(ctx context.Context, seed int64) ([]bench.Result, error) {
+		var all []bench.Result
+		for _, w := range workloads() {
+			all = append(all, measureAll(ctx, "moves/"+w.name+"/threshold", w, uint64(seed), movesPerKind, newThreshold)...)
+		}
+		return all, ctx.Err()
+	}}
+}
+
 func measure(ctx context.Context, seed uint64, count int) ([]bench.Result, error) {
 	var all []bench.Result
 	for _, w := range workloads() {
@@ -67,6 +78,7 @@
 	}
 	return []bench.Result{
 		bench.Figure(name+"/good-whole-in-time", share(good, wholeInTime), "share"),
+		bench.Figure(name+"/good-blamed", share(good, wasBlamed), "share"),
 		bench.Figure(name+"/bad-taken-back", share(bad, wasTakenBack), "share"),
 		bench.Figure(name+"/bad-answers", badAnswerShare(bad), "share"),
 	}
--- a/internal/control/move_loop.go
+++ b/internal/control/move_loop.go
@@ -41,6 +41,9 @@
 	if !s.options.Log.Status().IsLeader {
 		return
 	}
+	for _, running := range active {
+		s.options.Logger.Debug().Str("move", running.Id).Str("hold", driver.Hold(running.Id)).Msg("move judged")
+	}
 	for _, step := range steps {
 		s.proposeStep(ctx, step)
 	}
