--- a/internal/cli/edit_report.go
+++ b/internal/cli/edit_report.go
@@ -50,5 +50,5 @@
 	if version := e.baseVersion(path); version > 0 {
 		return fmt.Sprintf("branch at version %d", version)
 	}
-	return "no change to the branch"
+	return "there is no such branch"
 }
--- a/internal/cli/history.go
+++ b/internal/cli/history.go
@@ -54,10 +54,18 @@
 		}
 		rows = append(rows, []string{
 			strconv.FormatUint(entry.Version, 10), timeText(entry.AcceptedUnixMs), entry.Operator, source,
-			changedPaths(entry.Branches), entry.Comment,
+			changedPaths(entry.Branches), entryText(entry),
 		})
 	}
-	return p.table([]string{"VERSION", "ACCEPTED", "OPERATOR", "BY", "BRANCHES", "COMMENT"}, rows)
+	return p.table([]string{"VERSION", "ACCEPTED", "OPERATOR", "BY", "BRANCHES", "COMMENT OR DETAIL"}, rows)
+}
+
+// entryText is the operator's comment, or what the control group says about a version that it made itself.
+func entryText(entry *apiv1.HistoryEntry) string {
+	if entry.Comment != "" {
+		return entry.Comment
+	}
+	return entry.Detail
 }
 
 func changedPaths(branches []*apiv1.BranchEdit) string {
--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -210,3 +210,28 @@
 	require.Equal(t, apiv1.MoveState_MOVE_STATE_TAKEN_BACK, f.move.State, f.move.Reason)
 	require.Less(t, f.newBad, uint64(60))
 }
+
+// A request that kills the backend server that runs it breaks the calls beside it too: one death, not many failures.
+func TestOneDeathThatBreaksManyCallsIsNotBlamed(t *testing.T) {
+	f := newFlow(10*time.Minute, defaultPolicy(), 40)
+	for f.active() && f.now.Before(start.Add(10*time.Minute)) {
+		switch f.now.Sub(start) {
+		case time.Minute:
+			f.judge.Observe(f.now, NewVersion, "lookup", "hobart", Counts{Broken: 10})
+		case 2 * time.Minute, 3 * time.Minute:
+			f.judge.Observe(f.now, OldVersion, "lookup", "hobart", Counts{Broken: 10})
+		}
+		f.tickOnce(0, 0)
+	}
+	require.Equal(t, uint32(fullShare), f.move.ShareBp, f.move.Reason)
+}
+
+func TestBackendServersThatDieInTurnAreBlamed(t *testing.T) {
+	f := newFlow(10*time.Minute, defaultPolicy(), 40)
+	for f.active() && f.now.Before(start.Add(time.Minute)) {
+		f.judge.Observe(f.now, NewVersion, "lookup", "hobart", Counts{Broken: 1})
+		f.tickOnce(0, 0)
+	}
+	require.Equal(t, apiv1.MoveState_MOVE_STATE_TAKEN_BACK, f.move.State)
+	require.Contains(t, f.move.Reason, "backend servers die")
+}
