--- a/internal/distribution/relay_sync.go
+++ b/internal/distribution/relay_sync.go
@@ -13,7 +13,7 @@
 	for ctx.Err() == nil {
 		told, changed := r.state.toldChannel(), r.hub.Changed()
 		if err := sync(ctx, to); err != nil {
-			r.options.Logger.Debug().Err(err).Str("to", to.client.Addr).Msg("sync failed")
+			r.options.Logger.Debug().Err(err).Str("relay", to.client.Addr).Msg("sync failed")
 			pause(ctx, retryPause)
 		}
 		waitForNews(ctx, told, changed, r.interval(to))
