--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -14,6 +14,7 @@
 		{Name: "control", Run: control.Run},
 		{Name: "distribution", Run: distribution.Run},
 		moves.Suite(),
+		moves.SimpleSuite(),
 		traffic.Suite(),
 	}
 }
