--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 	d := &Daemon{settings: s, logger: logger, registry: prometheus.NewRegistry()}
 	if s.FaultInjection {
 		d.faults = netfault.Enable()
+		d.faults.Cut(s.FaultCuts)
 	}
 	if s.IsControl() {
 		if err := d.openControl(); err != nil {
@@ -120,6 +121,7 @@
 	})
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(running) })
+		group.Go(func() error { return d.watchStorage(running) })
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(running) })
@@ -140,6 +142,16 @@
 	return err
 }
 
+// watchStorage ends the process when its data folder has failed: what the disk holds is not known any more.
+func (d *Daemon) watchStorage(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.replica.Done():
+		return replica.ErrStopped
+	}
+}
+
 // controlHandler serves the twirp services of all roles of the process.
 func (d *Daemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
