Drop members whose end was forgotten while a table was cut off

Cause: ends of leases are remembered for a time only; a relay cut off for longer kept backend servers that had gone. Change: ends are remembered for two hours, and a complete list ends what it lacks, unless its home is heard; the same word brings it back. Red first: TestEndForgottenDuringACut without Reconcile keeps the server.

--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -84,7 +84,7 @@
 	}
 	changes := hub.Changes(since, "")
 	response.MembersSource, response.MembersSeq = hub.Source(), changes.Seq
-	response.Servers = changes.Servers
+	response.Servers, response.MembersFull = changes.Servers, changes.Full
 	if request.WantNodes {
 		response.Nodes = changes.Nodes
 	}
--- a/internal/distribution/sync_target.go
+++ b/internal/distribution/sync_target.go
@@ -39,6 +39,9 @@
 	if response.MembersSource != "" {
 		t.source, t.seq = response.MembersSource, response.MembersSeq
 		hub.Merge("", response.Nodes, response.Servers, time.Now())
+		if response.MembersFull {
+			hub.Reconcile(response.Servers, time.Now())
+		}
 	}
 	return response, nil
 }
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -66,6 +66,14 @@
 	h.changedSeq = h.table.SyncSeq()
 }
 
+// Reconcile drops what the complete list of another table lacks; see Table.Reconcile.
+func (h *Hub) Reconcile(servers []*apiv1.BackendServer, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Reconcile(servers, now)
+	h.changedSeq = h.table.SyncSeq()
+}
+
 // Expire ends the leases of backend servers that are no longer announced and returns the nodes that are overdue.
 func (h *Hub) Expire(now time.Time) []*apiv1.NodeInfo {
 	h.mu.Lock()
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -17,6 +17,8 @@
 type lease[R record] struct {
 	record R
 	gone   bool
+	// dropped is set for a lease that ended here only because a complete list lacked it: the same word brings it back.
+	dropped bool
 	// expires is the end of a lease that is at home here, or the time to forget an ended one.
 	expires time.Time
 	// seq and syncSeq are the table's counters at the last change that readers and other tables see.
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -54,7 +54,7 @@
 // put takes a record in when it is newer than the known one.
 func (s *leaseSet[R]) put(r R, now time.Time) bool {
 	known := s.leases[r.GetInstance()]
-	if known != nil && s.order(r, known.record) <= 0 {
+	if known != nil && s.order(r, known.record) <= 0 && !s.revives(r, known) {
 		return false
 	}
 	gone := s.kind.gone(r)
@@ -73,6 +73,27 @@
 	return true
 }
 
+// revives reports whether a record is the word of a lease that was dropped.
+func (s *leaseSet[R]) revives(r R, known *lease[R]) bool {
+	return known.dropped && !s.kind.gone(r) &&
+		r.GetIncarnation() == known.record.GetIncarnation() && r.GetRevision() == known.record.GetRevision()
+}
+
+// reconcile drops the running leases that a complete list of another table lacks, apart from those whose home is
+// heard here.
+func (s *leaseSet[R]) reconcile(listed []R, now time.Time, heard func(home string) bool) {
+	names := make(map[string]bool, len(listed))
+	for _, r := range listed {
+		names[r.GetInstance()] = true
+	}
+	for instance, l := range s.leases {
+		home := l.record.GetHome()
+		if !l.gone && !names[instance] && home != s.self && !heard(home) && s.put(s.kind.end(l.record), now) {
+			s.leases[instance].dropped = true
+		}
+	}
+}
+
 // renew takes in the word of the node itself. It returns the revision that the node must exceed to be believed, 0
 // when it is believed.
 func (s *leaseSet[R]) renew(r R, now time.Time) uint64 {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,7 +15,7 @@
 	HomeTime = 8 * time.Second
 	// goneMemory is the time for which the end of a lease is remembered, so that an older word does not bring the
 	// instance back.
-	goneMemory = 10 * time.Minute
+	goneMemory = 2 * time.Hour
 )
 
 // Table is the set of leased nodes and backend servers that one process knows. It is owned by one goroutine or
@@ -109,6 +109,15 @@
 	}
 }
 
+// Reconcile drops the backend servers that the complete list of another table lacks, apart from those whose home is
+// heard here: their ends may have been forgotten while this table was cut off.
+func (t *Table) Reconcile(servers []*apiv1.BackendServer, now time.Time) {
+	t.servers.reconcile(servers, now, func(home string) bool {
+		heard, ok := t.homes[home]
+		return ok && now.Sub(heard) <= HomeTime
+	})
+}
+
 // claimAddr keeps one running lease for an address: that of the backend server which started last. An address that
 // another instance took over thus leads no calls to the wrong service.
 func (t *Table) claimAddr(instance string, now time.Time) {
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -97,6 +97,24 @@
 	require.Empty(t, table.Servers())
 }
 
+// TestEndForgottenDuringACut lets a backend server end while a table is cut off, for longer than ends are remembered.
+func TestEndForgottenDuringACut(t *testing.T) {
+	home, cut := NewTable("home"), NewTable("cut")
+	home.Renew(nodeWith(1, 1), start)
+	tell(home, cut, start)
+	home.EndNode(home.OverdueNodes(start.Add(LeaseTime + 1))[0], start.Add(LeaseTime+1))
+	healed := start.Add(2 * goneMemory)
+	home.Expire(healed)
+	_, servers, full := home.Changes(1, "")
+	require.True(t, full)
+	tell(home, cut, healed)
+	cut.Reconcile(servers, healed)
+	require.Empty(t, cut.Servers())
+	home.Renew(nodeWith(1, 1), healed)
+	tell(home, cut, healed)
+	require.Len(t, cut.Servers(), 1, "the same word brings it back")
+}
+
 func TestLeavingIsToldAtOnce(t *testing.T) {
 	home, other := NewTable("home"), NewTable("other")
 	home.Renew(nodeWith(1, 1), start)
