--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -4,6 +4,7 @@
 	"samphireflow/internal/bench"
 	"samphireflow/internal/bench/distribution"
 	"samphireflow/internal/bench/moves"
+	"samphireflow/internal/bench/traffic"
 )
 
 // suites lists the measurements in the order in which they run.
@@ -11,5 +12,6 @@
 	return []bench.Suite{
 		{Name: "distribution", Run: distribution.Run},
 		moves.Suite(),
+		traffic.Suite(),
 	}
 }
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -8,41 +8,8 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
-	"samphireflow/internal/member"
 )
 
-// announcement is the last word of the backend server beside this node.
-type announcement struct {
-	server  *apiv1.BackendServer
-	expires time.Time
-}
-
-// Announce takes the heartbeat of the backend server beside this node (twirp service Membership).
-func (n *Node) Announce(_ context.Context, request *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
-	if request.Server == nil || request.Server.Instance == "" {
-		return nil, errNoServer
-	}
-	request.Server.Node = n.options.Instance
-	request.Server.NodeControlAddr = n.options.ControlAddr
-	if n.takeAnnouncement(request.Server) {
-		n.revise()
-		n.wakeRenewal()
-	}
-	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
-}
-
-// takeAnnouncement reports whether the backend server announced something new. Its load is no news: it travels on
-// its answers.
-func (n *Node) takeAnnouncement(server *apiv1.BackendServer) bool {
-	server.InFlight = 0
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	known := n.announced
-	n.announced = &announcement{server: server, expires: now.Add(member.LeaseTime)}
-	return known == nil || now.After(known.expires) || !proto.Equal(known.server, server)
-}
-
 func (n *Node) wakeRenewal() {
 	select {
 	case n.renewNow <- struct{}{}:
@@ -163,8 +130,8 @@
 	if version, refusal := n.relay.Refused(); request.Node.RefusedVersion == 0 {
 		request.Node.RefusedVersion, request.Node.Refusal = version, refusal
 	}
-	if n.announced != nil && time.Now().Before(n.announced.expires) {
-		server := proto.Clone(n.announced.server).(*apiv1.BackendServer)
+	if told := n.told(time.Now()); told != nil {
+		server := proto.Clone(told).(*apiv1.BackendServer)
 		server.Revision = n.revision
 		request.Servers = append(request.Servers, server)
 	}
