--- a/cmd/bench/suites.go
+++ b/cmd/bench/suites.go
@@ -2,6 +2,7 @@
 
 import (
 	"samphireflow/internal/bench"
+	"samphireflow/internal/bench/control"
 	"samphireflow/internal/bench/distribution"
 	"samphireflow/internal/bench/moves"
 	"samphireflow/internal/bench/traffic"
@@ -10,8 +11,10 @@
 // suites lists the measurements in the order in which they run.
 func suites() []bench.Suite {
 	return []bench.Suite{
+		{Name: "control", Run: control.Run},
 		{Name: "distribution", Run: distribution.Run},
 		moves.Suite(),
+		moves.SimpleSuite(),
 		traffic.Suite(),
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -47,8 +47,10 @@
 	outcomes *outcome.Sum
 	reports  *distribution.ReportFilter
 	client   *http.Client
-	started  time.Time
-	now      func() time.Time
+	// peerClient reaches the other control instances and the nodes for members.
+	peerClient *http.Client
+	started    time.Time
+	now        func() time.Time
 }
 
 const (
@@ -59,25 +61,26 @@
 // New returns a server that has not started.
 func New(options Options) *Server {
 	started := time.Now()
-	client := options.Client
+	client, peerClient := options.Client, options.Client
 	if client == nil {
-		client = newHTTPClient()
+		client, peerClient = newHTTPClient(), distribution.NewHTTPClient()
 	}
 	members := member.NewHub(options.Instance, uint64(started.UnixNano()))
 	s := &Server{
-		options:  options,
-		members:  members,
-		builder:  newBuilder(),
-		barrier:  newBarrier(options.Log.ReadIndex),
-		outcomes: outcome.NewSum(""),
-		reports:  distribution.NewReportFilter(),
-		client:   client,
-		started:  started,
-		now:      time.Now,
+		options:    options,
+		members:    members,
+		builder:    newBuilder(),
+		barrier:    newBarrier(options.Log.ReadIndex),
+		outcomes:   outcome.NewSum(""),
+		reports:    distribution.NewReportFilter(),
+		client:     client,
+		peerClient: peerClient,
+		started:    started,
+		now:        time.Now,
 	}
 	s.watches = distribution.NewWatchServer(source{s}, members)
-	s.reaper = distribution.NewReaper(members, client, s.helpers)
-	s.exchange = distribution.NewMemberExchange(options.Instance, members, client, s.otherControls, options.Logger)
+	s.reaper = distribution.NewReaper(members, peerClient, s.helpers)
+	s.exchange = distribution.NewMemberExchange(options.Instance, members, peerClient, s.otherControls, options.Logger)
 	return s
 }
 
@@ -90,7 +93,7 @@
 
 // helpers are the other control instances.
 func (s *Server) helpers() []*distribution.Client {
-	return distribution.DialAll(s.otherControls(), s.client)
+	return distribution.DialAll(s.otherControls(), s.peerClient)
 }
 
 // otherControls lists the control addresses of the other control instances.
