--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(GO) run ./cmd/bench --out bench/results.json
 
 prove: build
-	SAMPHIREFLOW_PROVE=1 SAMPHIREFLOW_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -timeout 40m ./test/...
+	SAMPHIREFLOW_PROVE=1 SAMPHIREFLOW_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -p 1 -timeout 40m ./test/...
 
 generate:
 	$(GO) generate ./api
