End the reads of the fake control group with its world

Cause: TestIsolatedOldLeaderPushesNothing failed by chance (make test once; alone 1 of 3 and 1 of 8 runs) with 'main bubble goroutine has exited but blocked goroutines remain': a read barrier at the isolated member was still waiting for its timeout when the test had ended. Ruled out: a fault of the barrier; its read ends after a second at most. What the test requires is unchanged.

--- a/internal/distribution/group_test.go
+++ b/internal/distribution/group_test.go
@@ -15,6 +15,9 @@
 // group stands for the replicated log: an entry is accepted by the leader and applied at once by every member that
 // is not isolated.
 type group struct {
+	// ended is closed at the end of the world, so that no read outlives it.
+	ended <-chan struct{}
+
 	mu      sync.Mutex
 	term    uint64
 	entries []entry
@@ -127,11 +130,14 @@
 	m.group.mu.Lock()
 	isolated := m.isolated
 	m.group.mu.Unlock()
-	if isolated {
-		<-ctx.Done()
-		return replica.ErrNoQuorum
+	if !isolated {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-m.group.ended:
 	}
-	return nil
+	return replica.ErrNoQuorum
 }
 
 // Status tells what the member believes.
--- a/internal/distribution/world_test.go
+++ b/internal/distribution/world_test.go
@@ -61,6 +61,7 @@
 		t: t, ctx: ctx, stop: cancel,
 		network: newNetwork(seed), group: newGroup(controlAddrs), applies: map[string][]*apiv1.Snapshot{},
 	}
+	w.group.ended = ctx.Done()
 	t.Cleanup(w.close)
 	for i, addr := range controlAddrs {
 		w.startControl(i, addr)
