--- /dev/null
+++ b/internal/cli/control_members.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+func controlMembersCommands(s *session) *commandSet {
+	return &commandSet{
+		name: "control-members", synopsis: "show and change the members of the control group", session: s,
+		commands: []subcommands.Command{
+			&command{
+				name: "list", synopsis: "list the members as each control instance knows them", session: s,
+				run: func(ctx context.Context, s *session, _ []string) error { return listControlMembers(ctx, s) },
+			},
+			&command{
+				name: "add", args: "NAME", minArgs: 1, maxArgs: 1, session: s,
+				synopsis: "let an instance of a new name join, once it has started with a blank data folder",
+				run: func(ctx context.Context, s *session, args []string) error {
+					return changeControlMembers(ctx, s, args[0], apiv1.ControlMembers.Add)
+				},
+			},
+			&command{
+				name: "remove", args: "NAME", minArgs: 1, maxArgs: 1, session: s,
+				synopsis: "take an instance out of the group",
+				run: func(ctx context.Context, s *session, args []string) error {
+					return changeControlMembers(ctx, s, args[0], apiv1.ControlMembers.Remove)
+				},
+			},
+		},
+	}
+}
+
+// listControlMembers asks every control instance by itself. It fails only when none answers.
+func listControlMembers(ctx context.Context, s *session) error {
+	g, err := s.group()
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	answered := 0
+	for _, to := range g.endpoints {
+		answer, err := tryOnce(ctx, g, to, func(ctx context.Context, to *endpoint) (*apiv1.ListControlMembersResponse, error) {
+			return to.controlMembers.List(ctx, &apiv1.ListControlMembersRequest{})
+		})
+		if err == nil {
+			answered++
+		}
+		if err == nil && s.options.Output == outputJSON {
+			err = s.printer().json(answer, false)
+		}
+		rows = append(rows, controlMembersRow(to.address, answer, err))
+	}
+	if answered == 0 {
+		return errors.Wrap(errUnreachable, "control-members")
+	}
+	if s.options.Output == outputJSON {
+		return nil
+	}
+	return s.printer().table([]string{"ADDRESS", "INSTANCE", "VOTES", "LEADER", "HEARD", "LOG BYTES", "MEMBERS", "ASK TO JOIN"}, rows)
+}
+
+func controlMembersRow(address string, answer *apiv1.ListControlMembersResponse, err error) []string {
+	if err != nil {
+		return []string{address, "-", "-", "-", "-", "-", err.Error(), "-"}
+	}
+	age := time.Duration(answer.ContactAgeMs) * time.Millisecond
+	return []string{
+		address, answer.Instance, strconv.FormatBool(answer.Votes), answer.Leader, age.String() + " ago",
+		strconv.FormatUint(answer.LogBytes, 10), memberNames(answer.Members), strings.Join(answer.Joiners, " "),
+	}
+}
+
+// memberNames lists members; a learner has its role behind the name.
+func memberNames(members []*apiv1.ReplicaMember) string {
+	var names []string
+	for _, member := range members {
+		name := member.Name
+		if member.Learner {
+			name += "(learner)"
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, " ")
+}
+
+type changeControlMember func(apiv1.ControlMembers, context.Context, *apiv1.ChangeControlMembersRequest) (*apiv1.ChangeControlMembersResponse, error)
+
+func changeControlMembers(ctx context.Context, s *session, name string, change changeControlMember) error {
+	g, err := s.group()
+	if err != nil {
+		return err
+	}
+	answer, err := send(ctx, g, func(ctx context.Context, to *endpoint) (*apiv1.ChangeControlMembersResponse, error) {
+		return change(to.controlMembers, ctx, &apiv1.ChangeControlMembersRequest{Name: name})
+	}, func(answer *apiv1.ChangeControlMembersResponse) bool {
+		return answer.Fate == apiv1.ChangeFate_CHANGE_FATE_ACCEPTED
+	})
+	if err != nil {
+		return err
+	}
+	switch answer.Fate {
+	case apiv1.ChangeFate_CHANGE_FATE_ACCEPTED:
+		return s.printer().message(answer, func() error { return s.printer().line("accepted") })
+	case apiv1.ChangeFate_CHANGE_FATE_UNKNOWN:
+		return &exitError{status: ExitUnknown, cause: errors.New("the outcome is unknown: " + answer.Detail)}
+	}
+	return &exitError{status: ExitRefused, cause: errors.New(answer.Detail)}
+}
--- a/internal/cli/endpoint.go
+++ b/internal/cli/endpoint.go
@@ -14,6 +14,8 @@
 	members apiv1.Membership
 	status  apiv1.Status
 	inspect apiv1.Inspect
+	// controlMembers shows and changes the control group.
+	controlMembers apiv1.ControlMembers
 }
 
 func newEndpoint(address string, client *http.Client) *endpoint {
@@ -25,5 +27,7 @@
 		members: apiv1.NewMembershipProtobufClient(base, client),
 		status:  apiv1.NewStatusProtobufClient(base, client),
 		inspect: apiv1.NewInspectProtobufClient(base, client),
+
+		controlMembers: apiv1.NewControlMembersProtobufClient(base, client),
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -98,7 +99,16 @@
 
 // newIdentity names a blank folder: a voter whose disk was lost must not vote again under its old identity.
 func newIdentity(options Options) string {
-	return fmt.Sprintf("%s.%016x", options.ID, options.Rand.Uint64())
+	return identityOf(options.ID, options.Rand.Uint64())
+}
+
+// NewIdentity draws an identity for a new data folder of an instance.
+func NewIdentity(name string) string {
+	return identityOf(name, rand.Uint64())
+}
+
+func identityOf(name string, drawn uint64) string {
+	return fmt.Sprintf("%s.%016x", name, drawn)
 }
 
 // load starts the node from the folder. A blank folder starts without a group.
--- a/internal/wal/contents.go
+++ b/internal/wal/contents.go
@@ -152,5 +152,6 @@
 	if err := proto.Unmarshal(payload, record); err != nil {
 		return nil, err
 	}
-	return &raft.Snapshot{Index: record.Index, Term: record.Term, Membership: record.Membership, Data: record.Data}, nil
+	snapshot := snapshotOf(record)
+	return &snapshot, nil
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -165,13 +165,7 @@
 	if l.stopped {
 		return ErrStopped
 	}
-	payload, err := proto.Marshal(&apiv1.SnapshotRecord{
-		ClusterId:  l.identity.ClusterId,
-		Index:      snapshot.Index,
-		Term:       snapshot.Term,
-		Membership: snapshot.Membership,
-		Data:       snapshot.Data,
-	})
+	payload, err := encodeSnapshot(l.identity.ClusterId, snapshot)
 	if err != nil {
 		return l.stopOn(err)
 	}
--- a/test/control/group_test.go
+++ b/test/control/group_test.go
@@ -170,6 +170,21 @@
 	}, settleTimeout, tickInterval, "the group does not settle")
 }
 
+// leader waits for an instance that leads.
+func (g *group) leader() *replica.Replica {
+	var leader *replica.Replica
+	require.Eventually(g.t, func() bool {
+		for _, i := range g.instances {
+			if running, _ := i.running(); running != nil && running.Status().IsLeader {
+				leader = running
+				return true
+			}
+		}
+		return false
+	}, settleTimeout, tickInterval, "no leader")
+	return leader
+}
+
 func votesWithOwnFolder(status replica.Status) bool {
 	for _, member := range status.Members {
 		if member.Identity == status.Identity {
--- /dev/null
+++ b/test/control/members_test.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/waltest"
+)
+
+// accept makes an edit that must be accepted, resent until it has an answer.
+func (g *group) accept(id string, base uint64) uint64 {
+	random := rand.New(rand.NewPCG(1, 5))
+	var out answer
+	require.Eventually(g.t, func() bool {
+		out = groupService{g}.edit(random, request{editID: id, base: base})
+		return out.final()
+	}, settleTimeout, tickInterval)
+	require.Equal(g.t, apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, out.outcome)
+	return out.version
+}
+
+func TestAddReplaceAndRemoveInstances(t *testing.T) {
+	g := startGroup(t, 1, 3)
+	version := g.accept("first", 0)
+	fourth := &instance{name: "c3", disk: waltest.NewDisk()}
+	g.start(fourth)
+	g.instances = append(g.instances, fourth)
+	require.Eventually(t, func() bool { return len(g.leader().Status().Joiners) == 1 }, settleTimeout, tickInterval)
+	require.Len(t, g.leader().Status().Members, 3, "a new name joins only when it is invited")
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+		defer cancel()
+		return g.leader().Invite(ctx, "c3") == nil
+	}, settleTimeout, tickInterval)
+	g.awaitVoters()
+	require.Len(t, g.leader().Status().Voters, 4)
+
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+		defer cancel()
+		return g.leader().Remove(ctx, "c0") == nil || len(g.leader().Status().Voters) == 3
+	}, settleTimeout, tickInterval)
+	g.stop(g.instances[0], false)
+	g.instances = g.instances[1:]
+	version = g.accept("second", version)
+
+	f := &faults{group: g, counts: map[string]int{}}
+	f.loseDisk(g.instances[0])
+	g.awaitVoters()
+	f.loseDisk(g.instances[1])
+	g.awaitVoters()
+	g.accept("third", version)
+	g.awaitVoters()
+	require.Len(t, g.leader().Status().Voters, 3)
+	checkStates(t, g, &history{accepted: map[string]uint64{"first": 1, "second": 2, "third": 3}, operations: nil})
+}
+
+// TestTwoLostDisksOfThreeStopTheGroup loses the disks of a majority at once: the group must not form anew, and
+// edits are refused truthfully.
+func TestTwoLostDisksOfThreeStopTheGroup(t *testing.T) {
+	g := startGroup(t, 2, 3)
+	g.accept("first", 0)
+	g.awaitVoters()
+	for _, lost := range g.instances[:2] {
+		g.stop(lost, true)
+		lost.disk = waltest.NewDisk()
+	}
+	for _, lost := range g.instances[:2] {
+		g.start(lost)
+	}
+	random := rand.New(rand.NewPCG(1, 6))
+	for i := 0; i < 8; i++ {
+		out := groupService{g}.edit(random, request{editID: "second", base: 1})
+		require.False(t, out.final(), "%+v", out)
+	}
+	for _, lost := range g.instances[:2] {
+		running, _ := lost.running()
+		require.Empty(t, running.Status().Members)
+	}
+	survivor, machine := g.instances[2].running()
+	require.Equal(t, uint64(1), machine.View().Version)
+	require.Eventually(t, func() bool { return survivor.Status().LastContact > 2*attemptTimeout }, settleTimeout, time.Millisecond,
+		"the survivor says how old its state is")
+}
