--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -42,12 +42,17 @@
 	return h.source
 }
 
-// Renew extends leases; see Table.Renew.
-func (h *Hub) Renew(request *apiv1.RenewRequest, now time.Time) uint64 {
+// Renew extends leases and puts into the answer what the node has to do to be believed.
+func (h *Hub) Renew(request *apiv1.RenewRequest, response *apiv1.RenewResponse, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.wake()
-	return h.table.Renew(request, now)
+	response.LeaseMs = uint32(LeaseTime.Milliseconds())
+	if request.Unchanged {
+		response.WantWhole = !h.table.Keep(request, now)
+		return
+	}
+	response.RefutedRevision = h.table.Renew(request, now)
 }
 
 // Merge takes in records of another table and notes that the home which sent them was heard.
@@ -61,6 +66,14 @@
 	h.changedSeq = h.table.SyncSeq()
 }
 
+// Reconcile drops what the complete list of another table lacks; see Table.Reconcile.
+func (h *Hub) Reconcile(servers []*apiv1.BackendServer, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Reconcile(servers, now)
+	h.changedSeq = h.table.SyncSeq()
+}
+
 // Expire ends the leases of backend servers that are no longer announced and returns the nodes that are overdue.
 func (h *Hub) Expire(now time.Time) []*apiv1.NodeInfo {
 	h.mu.Lock()
