--- a/internal/cli/control_members.go
+++ b/internal/cli/control_members.go
@@ -38,33 +38,11 @@
 	}
 }
 
-// listControlMembers asks every control instance by itself. It fails only when none answers.
 func listControlMembers(ctx context.Context, s *session) error {
-	g, err := s.group()
-	if err != nil {
-		return err
-	}
-	var rows [][]string
-	answered := 0
-	for _, to := range g.endpoints {
-		answer, err := tryOnce(ctx, g, to, func(ctx context.Context, to *endpoint) (*apiv1.ListControlMembersResponse, error) {
-			return to.controlMembers.List(ctx, &apiv1.ListControlMembersRequest{})
-		})
-		if err == nil {
-			answered++
-		}
-		if err == nil && s.options.Output == outputJSON {
-			err = s.printer().json(answer, false)
-		}
-		rows = append(rows, controlMembersRow(to.address, answer, err))
-	}
-	if answered == 0 {
-		return errors.Wrap(errUnreachable, "control-members")
-	}
-	if s.options.Output == outputJSON {
-		return nil
-	}
-	return s.printer().table([]string{"ADDRESS", "INSTANCE", "VOTES", "LEADER", "HEARD", "LOG BYTES", "MEMBERS", "ASK TO JOIN"}, rows)
+	header := []string{"ADDRESS", "INSTANCE", "VOTES", "LEADER", "HEARD", "LOG BYTES", "MEMBERS", "ASK TO JOIN"}
+	return askEach(ctx, s, "control-members", header, func(ctx context.Context, to *endpoint) (*apiv1.ListControlMembersResponse, error) {
+		return to.controlMembers.List(ctx, &apiv1.ListControlMembersRequest{})
+	}, controlMembersRow)
 }
 
 func controlMembersRow(address string, answer *apiv1.ListControlMembersResponse, err error) []string {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/pkg/errors"
-
 	apiv1 "samphireflow/api/v1"
 )
 
@@ -17,33 +15,11 @@
 	}
 }
 
-// status asks every control instance by itself. It fails only when none answers.
 func status(ctx context.Context, s *session) error {
-	g, err := s.group()
-	if err != nil {
-		return err
-	}
-	var rows [][]string
-	answered := 0
-	for _, to := range g.endpoints {
-		answer, err := tryOnce(ctx, g, to, func(ctx context.Context, to *endpoint) (*apiv1.StatusResponse, error) {
-			return to.status.Get(ctx, &apiv1.StatusRequest{})
-		})
-		if err == nil {
-			answered++
-		}
-		if err == nil && s.options.Output == outputJSON {
-			err = s.printer().json(answer, false)
-		}
-		rows = append(rows, statusRow(to.address, answer, err))
-	}
-	if answered == 0 {
-		return errors.Wrap(errUnreachable, "status")
-	}
-	if s.options.Output == outputJSON {
-		return nil
-	}
-	return s.printer().table([]string{"ADDRESS", "INSTANCE", "LEADER", "TERM", "COMMITTED", "APPLIED", "VERSION", "VOTERS"}, rows)
+	header := []string{"ADDRESS", "INSTANCE", "LEADER", "TERM", "COMMITTED", "APPLIED", "VERSION", "VOTERS"}
+	return askEach(ctx, s, "status", header, func(ctx context.Context, to *endpoint) (*apiv1.StatusResponse, error) {
+		return to.status.Get(ctx, &apiv1.StatusRequest{})
+	}, statusRow)
 }
 
 func statusRow(address string, answer *apiv1.StatusResponse, err error) []string {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,6 +79,7 @@
 		ClusterID:    clusterID,
 		Dir:          d.settings.DataDir,
 		Members:      members(d.settings.ControlPeers),
+		OwnAddr:      d.settings.ControlAddr,
 		StateMachine: machine,
 		Transport: replica.NewTwirpTransport(replica.TwirpOptions{
 			ClusterID: clusterID,
