--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,6 @@
 type Node struct {
 	options     Options
 	incarnation uint64
-	client      *http.Client
 	// own reaches the relay in this process, which works while this node is one of the relays.
 	relay    *distribution.Relay
 	own      *distribution.Client
@@ -44,9 +43,15 @@
 	mu        sync.Mutex
 	announced *announcement
 	revision  uint64
+	// drained is the platform's word that the backend server leaves, leaving this node's own stop; guarded by mu.
+	drained bool
+	leaving bool
 	// renewNow asks the renewal loop not to wait.
 	renewNow chan struct{}
 
+	// renewed belongs to the goroutine that renews.
+	renewed renewal
+
 	// The rest belongs to the watch goroutine.
 	applier   applier
 	directory *member.Directory
@@ -67,10 +72,12 @@
 
 // New returns a node that has not started.
 func New(options Options) *Node {
+	if options.Client == nil {
+		options.Client = distribution.NewHTTPClient()
+	}
 	n := &Node{
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
-		client:      distribution.NewHTTPClient(),
 		outcomes:    outcome.NewSum(options.FailureDomain),
 		guarded:     guarded{guard: local.NewGuard()},
 		renewNow:    make(chan struct{}, 1),
@@ -86,7 +93,7 @@
 		ControlAddr:   options.ControlAddr,
 		Incarnation:   n.incarnation,
 		Control:       options.Control,
-		Client:        n.client,
+		Client:        options.Client,
 		Logger:        options.Logger,
 	})
 	n.own = &distribution.Client{Addr: options.ControlAddr, Distribution: n.relay, Membership: n.relay, Relay: n.relay}
@@ -105,7 +112,7 @@
 	if addr == n.options.ControlAddr {
 		return n.own
 	}
-	return distribution.Dial(addr, n.client)
+	return distribution.Dial(addr, n.options.Client)
 }
 
 // Register mounts the twirp services that other processes of the system reach a node by, apart from Inspect.
@@ -129,11 +136,21 @@
 	return n.status.Load()
 }
 
+// Incarnation tells starts of this process apart.
+func (n *Node) Incarnation() uint64 {
+	return n.incarnation
+}
+
 // Recorder returns where the proxy counts outcomes.
 func (n *Node) Recorder() *Recorder {
 	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
 }
 
+// Relay returns the state of the relay in this process.
+func (n *Node) Relay() distribution.RelayStatus {
+	return n.relay.Status()
+}
+
 // Ready reports whether the node has a configuration to serve by.
 func (n *Node) Ready() bool {
 	return n.table.Load() != nil
