--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,6 @@
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
-	"samphireflow/internal/move/local"
 	"samphireflow/internal/outcome"
 	"samphireflow/internal/routing"
 )
@@ -33,8 +32,6 @@
 
 	// table is what the proxy routes by; it is replaced whole.
 	table atomic.Pointer[routing.Table]
-	// guarded limits the shares in table by the node's own evidence.
-	guarded guarded
 	// status is what operators see of the applied configuration.
 	status atomic.Pointer[Status]
 
@@ -79,7 +76,6 @@
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
 		outcomes:    outcome.NewSum(options.FailureDomain),
-		guarded:     guarded{guard: local.NewGuard()},
 		renewNow:    make(chan struct{}, 1),
 		applier:     applier{failureDomain: options.FailureDomain},
 		directory:   member.NewDirectory(),
@@ -128,7 +124,7 @@
 
 // Table returns the routing table in force, nil before the first one.
 func (n *Node) Table() *routing.Table {
-	return n.guarded.limit(n.table.Load())
+	return n.table.Load()
 }
 
 // Status returns the applied configuration.
@@ -142,8 +138,8 @@
 }
 
 // Recorder returns where the proxy counts outcomes.
-func (n *Node) Recorder() *Recorder {
-	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
+func (n *Node) Recorder() *outcome.Sum {
+	return n.outcomes
 }
 
 // Relay returns the state of the relay in this process.
@@ -164,7 +160,6 @@
 	group.Go(func() error { return n.homeLoop(ctx) })
 	group.Go(func() error { return n.renewLoop(ctx) })
 	group.Go(func() error { return n.reportLoop(ctx) })
-	group.Go(func() error { return n.guardLoop(ctx) })
 	return group.Wait()
 }
 
