--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -21,6 +21,10 @@
 	watchWait = time.Second
 	// lateness is the time after its deadline at which an unfinished attempt is given up.
 	lateness = time.Second
+	// staleWait bounds the time for which claims are tried again while a change of the holders spreads.
+	staleWait = time.Second
+	// stalePause is the mean pause between such tries.
+	stalePause = 20 * time.Millisecond
 	// roundPause is the mean pause before another round of claims after a split vote.
 	roundPause = 5 * time.Millisecond
 )
@@ -72,6 +76,7 @@
 func (c *Client) Begin(ctx context.Context, request *Request) (*Right, *apiv1.StoredCall, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	patience := c.options.Now().Add(staleWait)
 	for {
 		set := Home(request.Home, c.options.Configuration().Assignments)
 		if set == nil || len(set.Nodes) == 0 {
@@ -89,6 +94,12 @@
 			return nil, nil, ErrFull
 		case verdictNone:
 			return nil, nil, ErrNoHolders
+		case verdictStale:
+			if ctx.Err() != nil || c.options.Now().After(patience) {
+				return nil, nil, ErrNoHolders
+			}
+			pause(ctx, stalePause)
+			continue
 		}
 		if call, err := round.watch(ctx); call != nil || err != nil {
 			return nil, call, err
--- a/internal/claim/round.go
+++ b/internal/claim/round.go
@@ -17,6 +17,8 @@
 	verdictFull
 	// verdictTaken means that another attempt has not finished, or that votes were split.
 	verdictTaken
+	// verdictStale means that enough holders answered, but some of another epoch or without memory, which may pass soon.
+	verdictStale
 	// verdictNone means that too few holders answered.
 	verdictNone
 )
--- a/internal/claim/tally.go
+++ b/internal/claim/tally.go
@@ -11,6 +11,7 @@
 	granted  int
 	taken    int
 	full     int
+	stale    int
 	mismatch bool
 	call     *apiv1.StoredCall
 }
@@ -33,6 +34,8 @@
 		t.mismatch = true
 	case apiv1.ClaimStatus_CLAIM_STATUS_FULL:
 		t.full++
+	case apiv1.ClaimStatus_CLAIM_STATUS_WRONG_EPOCH, apiv1.ClaimStatus_CLAIM_STATUS_ABSTAINS:
+		t.stale++
 	}
 }
 
@@ -54,6 +57,8 @@
 		return verdictTaken
 	case t.full > 0:
 		return verdictFull
+	case t.granted+t.stale >= Quorum(t.size):
+		return verdictStale
 	}
 	return verdictNone
 }
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireflow/internal/tracing"
 )
 
@@ -11,6 +14,9 @@
 // callers can go elsewhere first.
 const leaveLinger = time.Second
 
+// tableLook is the time between looks for the first routing table.
+const tableLook = 20 * time.Millisecond
+
 // serveCallers serves the caller address until the context ends, then lets the calls in flight end. It returns early
 // when the rest of the process fails.
 func (d *Daemon) serveCallers(ctx, running context.Context) error {
@@ -19,6 +25,13 @@
 		d.leaving.Store(true)
 		return nil
 	}
+	if err := checkFree("caller", d.settings.CallerAddr); err != nil {
+		return err
+	}
+	if !d.awaitTable(ctx, running) {
+		d.leaving.Store(true)
+		return nil
+	}
 	serving, stop := context.WithCancel(running)
 	defer stop()
 	go func() {
@@ -29,6 +42,32 @@
 	return serve(serving, "caller", d.settings.CallerAddr, limitHeader(tracing.Handler("node", d.traffic.proxy)))
 }
 
+// awaitTable waits until there is something to route by. A node without it takes no connections, so that callers go to
+// another node. It reports false when the process stops first.
+func (d *Daemon) awaitTable(ctx, running context.Context) bool {
+	ticker := time.NewTicker(tableLook)
+	defer ticker.Stop()
+	for !d.node.Ready() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-running.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// checkFree finds an address that is taken at the start of the process, before it is served.
+func checkFree(name, addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s address", name)
+	}
+	return errors.Wrapf(listener.Close(), "listen on %s address", name)
+}
+
 // leave tells callers, the platform and the other nodes that this node is about to stop.
 func (d *Daemon) leave(running context.Context) {
 	d.leaving.Store(true)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,8 @@
 	table atomic.Pointer[routing.Table]
 	// guarded limits the shares in table by the node's own evidence.
 	guarded guarded
+	// knowsMembers is set with the first list of backend servers.
+	knowsMembers atomic.Bool
 	// status is what operators see of the applied configuration.
 	status atomic.Pointer[Status]
 
@@ -142,9 +144,9 @@
 	return &Recorder{Sum: n.outcomes, guard: n.guarded.guard, table: &n.table}
 }
 
-// Ready reports whether the node has a configuration to serve by.
+// Ready reports whether the node has a configuration to serve by and has heard of the backend servers.
 func (n *Node) Ready() bool {
-	return n.table.Load() != nil
+	return n.table.Load() != nil && n.knowsMembers.Load()
 }
 
 // Run follows the control group until the context ends, then tells it that the node leaves.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -184,6 +184,7 @@
 		return false, errors.Wrap(err, "decode members")
 	}
 	n.directory.Apply(update)
+	n.knowsMembers.Store(true)
 	now := time.Now()
 	delay := n.membersBudget.ReserveN(now, min(len(data), membersBurst)).DelayFrom(now)
 	n.membersAt = now.Add(min(delay, maxMembersDelay))
