Check histories of bookings; claim the caller address without listening

Six seeds of bookings, cancellations and lookups with resends through other nodes, lost and crossed messages, a holder's lost memory and broken answers, checked by porcupine against a rota and against the executions.

It now binds only.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"net"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"samphireflow/internal/tracing"
 )
@@ -59,13 +60,36 @@
 	return true
 }
 
-// checkFree finds an address that is taken at the start of the process, before it is served.
+// checkFree finds an address that is taken at the start of the process, before it is served. It does not listen, so
+// that no caller can connect yet.
 func checkFree(name, addr string) error {
-	listener, err := net.Listen("tcp", addr)
+	parsed, err := netip.ParseAddrPort(addr)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s address", name)
+		return errors.Wrapf(err, "%s address", name)
 	}
-	return errors.Wrapf(listener.Close(), "listen on %s address", name)
+	socket, err := unix.Socket(family(parsed), unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return errors.Wrapf(err, "%s address", name)
+	}
+	defer func() { _ = unix.Close(socket) }()
+	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return errors.Wrapf(err, "%s address", name)
+	}
+	return errors.Wrapf(unix.Bind(socket, sockaddr(parsed)), "listen on %s address %s", name, addr)
+}
+
+func family(addr netip.AddrPort) int {
+	if addr.Addr().Is4() {
+		return unix.AF_INET
+	}
+	return unix.AF_INET6
+}
+
+func sockaddr(addr netip.AddrPort) unix.Sockaddr {
+	if addr.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
 }
 
 // leave tells callers, the platform and the other nodes that this node is about to stop.
--- /dev/null
+++ b/internal/proxy/history_test.go
@@ -0,0 +1,262 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/claim"
+	"samphireflow/internal/tree"
+)
+
+const (
+	histories      = 6
+	historyCallers = 6
+	historyCalls   = 25
+	historySlots   = 3
+	// maxSends is how often a caller sends one request.
+	maxSends = 4
+)
+
+// rota is the state behind the backend servers of a history: who has booked each slot. Bookings append, so that a
+// booking that runs twice shows.
+type rota struct {
+	mu      sync.Mutex
+	entries map[string]string
+	runs    map[string]int
+}
+
+// run executes a request and returns the state of its slot.
+func (r *rota) run(method, slot, key, body string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if method == http.MethodPost {
+		r.runs[key]++
+		if body == "cancel" {
+			r.entries[slot] = ""
+		} else {
+			r.entries[slot] += body
+		}
+	}
+	return r.entries[slot]
+}
+
+// faultyBackend runs requests and then answers, hangs up, or cuts its answer short.
+func faultyBackend(t testing.TB, r *rota, random func(int) int) *rawServer {
+	return newRawServer(t, func(request *http.Request, _ int64) (string, bool) {
+		switch random(12) {
+		case 0:
+			return shedAnswer, false
+		case 1:
+			return "", true
+		}
+		slot := strings.TrimPrefix(strings.TrimPrefix(request.URL.Path, "/shifts/"), "/rota/")
+		state := r.run(request.Method, slot, request.Header.Get(HeaderIdempotencyKey), request.Header.Get("Body"))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(state), state)
+		switch random(12) {
+		case 0:
+			return "", true
+		case 1:
+			return answer[:len(answer)-len(state)/2-1], true
+		}
+		return answer, false
+	})
+}
+
+// holderSet is a set of claim holders whose memory can be lost and whose answers can get lost.
+type holderSet struct {
+	set           *apiv1.Assignment
+	configuration func() claim.Configuration
+	mu            sync.Mutex
+	byAddr        map[string]*claim.Holder
+	random        func(int) int
+	incarnations  map[string]uint64
+}
+
+func newHolderSet(random func(int) int) *holderSet {
+	s := &holderSet{byAddr: map[string]*claim.Holder{}, incarnations: map[string]uint64{}, random: random}
+	s.set = &apiv1.Assignment{
+		FailureDomain: "hobart", Role: apiv1.AssignmentRole_ASSIGNMENT_ROLE_CLAIM_HOLDER, Epoch: 1, HomeDomains: []string{"hobart"},
+	}
+	for _, name := range []string{"h1", "h2", "h3"} {
+		s.set.Nodes = append(s.set.Nodes, &apiv1.AssignedNode{Instance: name, ControlAddr: name, Incarnation: 1, SinceEpoch: 1})
+	}
+	s.configuration = func() claim.Configuration {
+		return claim.Configuration{Assignments: []*apiv1.Assignment{s.set}, Retention: time.Hour}
+	}
+	for _, node := range s.set.Nodes {
+		s.restart(node.Instance)
+	}
+	return s
+}
+
+// restart starts a holder without memory.
+func (s *holderSet) restart(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnations[name]++
+	s.byAddr[name] = claim.NewHolder(claim.HolderOptions{
+		Instance: name, FailureDomain: "hobart", Incarnation: s.incarnations[name], Configuration: s.configuration, Peer: s.peer,
+		Logger: zerolog.Nop(), Now: time.Now,
+	})
+}
+
+func (s *holderSet) peer(addr string) apiv1.Claims {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &lossyClaims{Claims: s.byAddr[addr], random: s.random}
+}
+
+// historyOp is one request of a caller.
+type historyOp struct {
+	method string
+	slot   string
+	body   string
+}
+
+// model is a slot that bookings append to, cancellations empty and lookups read. An answer that is not known may be
+// anything.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		bySlot := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			slot := op.Input.(historyOp).slot
+			bySlot[slot] = append(bySlot[slot], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range bySlot {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		op, before := input.(historyOp), state.(string)
+		after := before
+		if op.method == http.MethodPost {
+			after += op.body
+			if op.body == "cancel" {
+				after = ""
+			}
+		}
+		return output == nil || output.(string) == after, after
+	},
+}
+
+// TestHistoriesOfBookings sends bookings, cancellations and lookups through several nodes, resends what has no answer
+// through another node, and checks the history against a rota in which each request runs at most once.
+func TestHistoriesOfBookings(t *testing.T) {
+	for seed := range uint64(histories) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := lockedRandom(seed)
+			state := &rota{entries: map[string]string{}, runs: map[string]int{}}
+			holders := newHolderSet(random)
+			infos := []*apiv1.BackendServer{
+				serverInfo("a", faultyBackend(t, state, random).addr), serverInfo("b", faultyBackend(t, state, random).addr),
+			}
+			var nodes []*rig
+			for i := range 3 {
+				client := claim.NewClient(claim.Options{
+					Instance: fmt.Sprint("n", i), Incarnation: 1, Configuration: holders.configuration, Peer: holders.peer,
+					Logger: zerolog.Nop(), Now: time.Now,
+				})
+				settings := defaults(tree.KeyCallTimeout, "400ms", tree.KeyEjectMaxShare, "0")
+				nodes = append(nodes, newRig(t, Options{Instance: fmt.Sprint("n", i), Claims: client, Recorder: discard{}}, settings, infos...))
+			}
+			history := runHistory(t, nodes, holders, random)
+			for key, runs := range state.runs {
+				require.Equal(t, 1, runs, "%s ran %d times", key, runs)
+			}
+			require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(model, history, time.Minute))
+		})
+	}
+}
+
+// runHistory lets callers send their requests while one holder after the other loses its memory.
+func runHistory(t *testing.T, nodes []*rig, holders *holderSet, random func(int) int) []porcupine.Operation {
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wg sync.WaitGroup
+	started := time.Now()
+	for caller := range historyCallers {
+		wg.Go(func() {
+			for number := range historyCalls {
+				if number == historyCalls/2 && caller == 0 {
+					holders.restart("h2")
+				}
+				op := randomOp(random, fmt.Sprintf("[%d.%d]", caller, number))
+				call := time.Since(started).Nanoseconds()
+				output, ran := sendUntilKnown(t, nodes, random, op, fmt.Sprintf("k%d-%d", caller, number))
+				if !ran {
+					continue
+				}
+				entry := porcupine.Operation{ClientId: caller, Input: op, Call: call, Output: output, Return: time.Since(started).Nanoseconds()}
+				if output == nil {
+					entry.Return = time.Hour.Nanoseconds()
+				}
+				mu.Lock()
+				history = append(history, entry)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return history
+}
+
+func randomOp(random func(int) int, name string) historyOp {
+	op := historyOp{method: http.MethodPost, slot: fmt.Sprint("s", random(historySlots)), body: name}
+	switch random(4) {
+	case 0:
+		op.method, op.body = http.MethodGet, ""
+	case 1:
+		op.body = "cancel"
+	}
+	return op
+}
+
+// sendUntilKnown sends a request through one node after the other. It returns the answer, nil when it is not known, and
+// whether the request may have run.
+func sendUntilKnown(t *testing.T, nodes []*rig, random func(int) int, op historyOp, key string) (any, bool) {
+	mayHaveRun := false
+	for range maxSends {
+		node := nodes[random(len(nodes))]
+		path := "/rota/" + op.slot
+		headers := []string{"Body", op.body}
+		if op.method == http.MethodPost {
+			path = "/shifts/" + op.slot
+			headers = append(headers, HeaderIdempotencyKey, key)
+		}
+		got := node.call(t, op.method, path, "", headers...)
+		switch got.outcome {
+		case OutcomeDone:
+			return got.body, true
+		case OutcomeUnknown:
+			mayHaveRun = true
+		}
+	}
+	if op.method == http.MethodGet {
+		return nil, false
+	}
+	return nil, mayHaveRun
+}
+
+func lockedRandom(seed uint64) func(int) int {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, seed))
+	return func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+}
