--- a/api/v1/traffic.twirp.go
+++ b/api/v1/traffic.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *trafficServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *trafficServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Traffic")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 355 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x52, 0xc1, 0x4e, 0xe3, 0x30,
 	0x14, 0x54, 0x76, 0x9b, 0x6d, 0xfb, 0x76, 0xbb, 0x15, 0xa6, 0x87, 0x90, 0x0a, 0x88, 0x02, 0x87,
--- a/internal/control/relay_service.go
+++ b/internal/control/relay_service.go
@@ -23,5 +23,5 @@
 
 // Probe tries to reach a node for another process.
 func (s relayService) Probe(ctx context.Context, request *apiv1.ProbeRequest) (*apiv1.ProbeResponse, error) {
-	return &apiv1.ProbeResponse{Reached: distribution.ProbeNode(ctx, s.client, request.ControlAddr)}, nil
+	return &apiv1.ProbeResponse{Reached: distribution.ProbeNode(ctx, s.peerClient, request.ControlAddr)}, nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -30,7 +30,9 @@
 	Instance string
 	Log      Log
 	Machine  *state.Machine
-	Logger   zerolog.Logger
+	// Client reaches the other processes; nil for one of the server's own.
+	Client *http.Client
+	Logger zerolog.Logger
 }
 
 // Server runs the control role of one process.
@@ -45,8 +47,10 @@
 	outcomes *outcome.Sum
 	reports  *distribution.ReportFilter
 	client   *http.Client
-	started  time.Time
-	now      func() time.Time
+	// peerClient reaches the other control instances and the nodes for members.
+	peerClient *http.Client
+	started    time.Time
+	now        func() time.Time
 }
 
 const (
@@ -57,31 +61,39 @@
 // New returns a server that has not started.
 func New(options Options) *Server {
 	started := time.Now()
-	client := &http.Client{
-		Timeout:   forwardTimeout,
-		Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
+	client, peerClient := options.Client, options.Client
+	if client == nil {
+		client, peerClient = newHTTPClient(), distribution.NewHTTPClient()
 	}
 	members := member.NewHub(options.Instance, uint64(started.UnixNano()))
 	s := &Server{
-		options:  options,
-		members:  members,
-		builder:  newBuilder(),
-		barrier:  newBarrier(options.Log.ReadIndex),
-		outcomes: outcome.NewSum(""),
-		reports:  distribution.NewReportFilter(),
-		client:   client,
-		started:  started,
-		now:      time.Now,
+		options:    options,
+		members:    members,
+		builder:    newBuilder(),
+		barrier:    newBarrier(options.Log.ReadIndex),
+		outcomes:   outcome.NewSum(""),
+		reports:    distribution.NewReportFilter(),
+		client:     client,
+		peerClient: peerClient,
+		started:    started,
+		now:        time.Now,
 	}
 	s.watches = distribution.NewWatchServer(source{s}, members)
-	s.reaper = distribution.NewReaper(members, client, s.helpers)
-	s.exchange = distribution.NewMemberExchange(options.Instance, members, client, s.otherControls, options.Logger)
+	s.reaper = distribution.NewReaper(members, peerClient, s.helpers)
+	s.exchange = distribution.NewMemberExchange(options.Instance, members, peerClient, s.otherControls, options.Logger)
 	return s
 }
 
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Timeout:   forwardTimeout,
+		Transport: tracing.Transport(&http.Transport{DialContext: netfault.Dialer(forwardTimeout)}),
+	}
+}
+
 // helpers are the other control instances.
 func (s *Server) helpers() []*distribution.Client {
-	return distribution.DialAll(s.otherControls(), s.client)
+	return distribution.DialAll(s.otherControls(), s.peerClient)
 }
 
 // otherControls lists the control addresses of the other control instances.
--- a/internal/distribution/sync_target.go
+++ b/internal/distribution/sync_target.go
@@ -11,6 +11,8 @@
 // syncTarget is another process that this one tells its leases. It belongs to one goroutine.
 type syncTarget struct {
 	client *Client
+	// relay is set for another relay, and not set for a control instance.
+	relay bool
 	// sent is the sync number up to which the target has the leases at home here; full asks to send all again.
 	sent uint64
 	full bool
@@ -37,6 +39,9 @@
 	if response.MembersSource != "" {
 		t.source, t.seq = response.MembersSource, response.MembersSeq
 		hub.Merge("", response.Nodes, response.Servers, time.Now())
+		if response.MembersFull {
+			hub.Reconcile(response.Servers, time.Now())
+		}
 	}
 	return response, nil
 }
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -54,7 +54,7 @@
 // put takes a record in when it is newer than the known one.
 func (s *leaseSet[R]) put(r R, now time.Time) bool {
 	known := s.leases[r.GetInstance()]
-	if known != nil && s.order(r, known.record) <= 0 {
+	if known != nil && s.order(r, known.record) <= 0 && !s.revives(r, known) {
 		return false
 	}
 	gone := s.kind.gone(r)
@@ -73,6 +73,27 @@
 	return true
 }
 
+// revives reports whether a record is the word of a lease that was dropped.
+func (s *leaseSet[R]) revives(r R, known *lease[R]) bool {
+	return known.dropped && !s.kind.gone(r) &&
+		r.GetIncarnation() == known.record.GetIncarnation() && r.GetRevision() == known.record.GetRevision()
+}
+
+// reconcile drops the running leases that a complete list of another table lacks, apart from those whose home is
+// heard here.
+func (s *leaseSet[R]) reconcile(listed []R, now time.Time, heard func(home string) bool) {
+	names := make(map[string]bool, len(listed))
+	for _, r := range listed {
+		names[r.GetInstance()] = true
+	}
+	for instance, l := range s.leases {
+		home := l.record.GetHome()
+		if !l.gone && !names[instance] && home != s.self && !heard(home) && s.put(s.kind.end(l.record), now) {
+			s.leases[instance].dropped = true
+		}
+	}
+}
+
 // renew takes in the word of the node itself. It returns the revision that the node must exceed to be believed, 0
 // when it is believed.
 func (s *leaseSet[R]) renew(r R, now time.Time) uint64 {
@@ -92,6 +113,19 @@
 	return s.answerRefuted(r)
 }
 
+// keep extends a lease at home here whose record has not changed. It reports whether the lease is known.
+func (s *leaseSet[R]) keep(instance string, now time.Time) bool {
+	known := s.leases[instance]
+	if known == nil || known.gone || known.record.GetHome() != s.self {
+		return false
+	}
+	if _, refuted := s.refuted[instance]; refuted {
+		return false
+	}
+	known.expires = now.Add(LeaseTime)
+	return true
+}
+
 func (s *leaseSet[R]) answerRefuted(r R) uint64 {
 	refuted := s.refuted[r.GetInstance()]
 	if r.GetRevision() <= refuted {
