--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,8 @@
 
 	// table is what the proxy routes by; it is replaced whole.
 	table atomic.Pointer[routing.Table]
+	// knowsMembers is set with the first list of backend servers.
+	knowsMembers atomic.Bool
 	// status is what operators see of the applied configuration.
 	status atomic.Pointer[Status]
 
@@ -147,9 +149,9 @@
 	return n.relay.Status()
 }
 
-// Ready reports whether the node has a configuration to serve by.
+// Ready reports whether the node has a configuration to serve by and has heard of the backend servers.
 func (n *Node) Ready() bool {
-	return n.table.Load() != nil
+	return n.table.Load() != nil && n.knowsMembers.Load()
 }
 
 // Run follows the control group until the context ends, then tells it that the node leaves.
