--- a/api/v1/distribution.twirp.go
+++ b/api/v1/distribution.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *distributionServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *distributionServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Distribution")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1524 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xd4, 0x58, 0xdb, 0x6e, 0xdb, 0x46,
 	0x13, 0xfe, 0x75, 0xa2, 0xa4, 0xd1, 0x31, 0xfb, 0x37, 0x0e, 0xed, 0x24, 0x8e, 0x2b, 0x20, 0xad,
