Wait until a killed process is reaped before it is started again

Cause: after a kill of all control instances two of five did not start: 'the data folder is in use by another process'. The command line of a dying process is empty before the system has closed its files. Ruled out: a fault of the log; the lock did its work. Change: Kill and Terminate wait until the process is reaped.

--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -61,12 +62,25 @@
 func (d *Deployment) end(process Process, signal syscall.Signal) error {
 	d.expect(process)
 	signalAll([]Process{process}, signal)
-	if !awaitGone([]Process{process}, startTimeout) {
+	if !awaitGone([]Process{process}, startTimeout) || !awaitReaped(process.PID, startTimeout) {
 		return errors.Errorf("%s does not end", process.name())
 	}
 	return nil
 }
 
+// awaitReaped reports whether a child was waited for within a time. Only then has the system closed all its files,
+// among them the lock of its data folder.
+func awaitReaped(pid int, timeout time.Duration) bool {
+	deadline := time.Now().Add(timeout)
+	for syscall.Kill(pid, 0) == nil {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(pollInterval)
+	}
+	return true
+}
+
 // Freeze stops a process without ending it; Thaw lets it go on.
 func (d *Deployment) Freeze(process Process) error {
 	return errors.Wrapf(syscall.Kill(process.PID, syscall.SIGSTOP), "freeze %s", process.name())
