--- a/internal/distribution/proof_test.go
+++ b/internal/distribution/proof_test.go
@@ -49,11 +49,7 @@
 		w.within(convergenceBound, released)
 		w.edit()
 		time.Sleep(20 * time.Second)
-		for _, h := range w.hosts {
-			if h.domain == "north" {
-				require.Equal(t, released, h.version(), "%s acts on a version that one relay alone holds", h.instance)
-			}
-		}
+		w.requireAt("north", released, "acts on a version that one relay alone holds")
 		w.healNetwork()
 		w.within(convergenceBound, w.edit())
 		w.cutGroups(w.addrsOf("north"), append(w.addrsOf("south"), controlAddrs...))
@@ -67,11 +63,7 @@
 		relays[0].kill()
 		relays[0].start()
 		time.Sleep(10 * time.Second)
-		for _, h := range w.hosts {
-			if h.domain == "north" {
-				require.Equal(t, before, h.version(), "%s serves again", h.instance)
-			}
-		}
+		w.requireAt("north", before, "does not serve again what it had")
 		w.healNetwork()
 		w.within(convergenceBound, w.edit())
 		w.requireSafe()
--- a/internal/distribution/world_test.go
+++ b/internal/distribution/world_test.go
@@ -271,6 +271,16 @@
 	}
 }
 
+// requireAt requires that every host of a failure domain acts on a version; otherwise it does what the text says.
+func (w *world) requireAt(domain string, version uint64, otherwise string) {
+	w.t.Helper()
+	for _, h := range w.hosts {
+		if h.domain == domain {
+			require.Equal(w.t, version, h.version(), "%s %s", h.instance, otherwise)
+		}
+	}
+}
+
 // cutGroups cuts every process of one list off from every one of another, both ways.
 func (w *world) cutGroups(a, b []string) {
 	w.network.change(func() {
--- a/test/distribution/faults_test.go
+++ b/test/distribution/faults_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/admin"
 	"samphireflow/internal/deployment"
 	"samphireflow/test/harness"
@@ -30,7 +31,7 @@
 	number     int
 }
 
-// edit makes one edit and returns the value that it sets.
+// edit makes one edit.
 func (e *editor) edit(ctx context.Context, t *testing.T) {
 	t.Helper()
 	e.number++
@@ -123,8 +124,11 @@
 	ctx, d := harness.Start(t, deployment.Ploughline())
 	e := &editor{deployment: d}
 	e.edit(ctx, t)
-	requireConverged(ctx, t, d, convergenceBound)
-	time.Sleep(settleTime)
+	for _, node := range harness.ByRole(d, deployment.RoleNode) {
+		harness.Eventually(ctx, t, "all relays assigned at "+node.Instance, settleTime, func() bool {
+			return relaysKnownAt(ctx, node) == wantedRelays(d, node.FailureDomain)
+		})
+	}
 	requireConverged(ctx, t, d, convergenceBound)
 	require.NoError(t, d.CutDomains(ctx, "hobart"))
 	before := newest(t, d)
@@ -145,5 +149,37 @@
 	requireNoStepBack(t, d)
 }
 
-// settleTime is the time in which the sets of relays grow to their size.
-const settleTime = 10 * time.Second
+// settleTime bounds the time in which the sets of relays grow to their size, and relaySetSize is that size.
+const (
+	settleTime   = 60 * time.Second
+	relaySetSize = 5
+)
+
+// wantedRelays returns the largest odd number of relays that a failure domain can have.
+func wantedRelays(d *deployment.Deployment, domain string) int {
+	nodes := 0
+	for _, node := range harness.ByRole(d, deployment.RoleNode) {
+		if node.FailureDomain == domain {
+			nodes++
+		}
+	}
+	wanted := min(nodes, relaySetSize)
+	if wanted%2 == 0 {
+		wanted--
+	}
+	return wanted
+}
+
+// relaysKnownAt returns the number of relays that the configuration of a node names.
+func relaysKnownAt(ctx context.Context, node deployment.Process) int {
+	applied, err := apiv1.NewInspectProtobufClient("http://"+node.ControlAddr, client).Applied(ctx, &apiv1.AppliedRequest{Whole: true})
+	if err != nil {
+		return 0
+	}
+	for _, assignment := range applied.Snapshot.GetAssignments() {
+		if assignment.Role == apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY {
+			return len(assignment.Nodes)
+		}
+	}
+	return 0
+}
