--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,7 @@
 type Node struct {
 	options     Options
 	incarnation uint64
-	// own reaches the relay in this process, which works while this node is one of the relays.
+	// relay works while this node is one of the relays; own reaches it without a connection.
 	relay    *distribution.Relay
 	own      *distribution.Client
 	selector *selector
