Let the measurement wait until the growth has ended before it measures idle costs

Cause: idle figures at 920 nodes were above those under churn. Change: settle for 69 s at 920 nodes.

--- a/internal/bench/distribution/cost.go
+++ b/internal/bench/distribution/cost.go
@@ -22,7 +22,7 @@
 	// settleTime is the time after a change of size before costs are measured, and settlePerNode what each node adds,
 	// because a node takes the list of members at a bounded rate.
 	settleTime    = 5 * time.Second
-	settlePerNode = 25 * time.Millisecond
+	settlePerNode = 70 * time.Millisecond
 )
 
 // measure takes the costs over a time in which work is done.
