Compare versions by the exchange with the backend server alone; let a stopping listener accept what waits; join twice-written logic

And a fresh connection to a stopping node ended with EOF now and then: a listener that closes resets what the kernel has accepted for it.

--- a/internal/assign/planner.go
+++ b/internal/assign/planner.go
@@ -3,6 +3,8 @@
 package assign
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -55,9 +57,9 @@
 	if now.Sub(p.started) < settleTime {
 		return nil
 	}
-	homes := homeDomains(current, sortedKeys(byDomain))
+	homes := homeDomains(current, slices.Sorted(maps.Keys(byDomain)))
 	var changes []*apiv1.Assignment
-	for _, domain := range sortedKeys(byDomain) {
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
 		for _, role := range roles {
 			change := p.planSet(find(current, domain, role), byDomain[domain], domain, role, now)
 			if change == nil {
@@ -251,12 +253,3 @@
 	}
 	return nil
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"flag"
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -117,7 +119,7 @@
 			changes = append(changes, &apiv1.Change{Key: setting.Key, Value: setting.Value})
 		}
 	}
-	for _, key := range sortedKeys(old) {
+	for _, key := range slices.Sorted(maps.Keys(old)) {
 		if !kept[key] {
 			changes = append(changes, &apiv1.Change{Key: key, Unset: true})
 		}
--- a/internal/cli/services.go
+++ b/internal/cli/services.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 
 	apiv1 "samphireflow/api/v1"
@@ -50,7 +52,7 @@
 		counts[key].add(server)
 	}
 	var list []*serviceVersion
-	for _, key := range sortedKeys(counts) {
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
 		list = append(list, counts[key])
 	}
 	return list
--- a/internal/control/config_service.go
+++ b/internal/control/config_service.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 
-	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/replica"
 	"samphireflow/internal/state"
 	"samphireflow/internal/tree"
 )
@@ -40,24 +38,17 @@
 
 type forwardEdit func(ctx context.Context, leader apiv1.Config) (*apiv1.EditResponse, error)
 
-// proposeEdit answers every failure with a truthful outcome rather than with an error.
 func (s *Server) proposeEdit(ctx context.Context, command *apiv1.Command, forward forwardEdit) (*apiv1.EditResponse, error) {
-	result, err := s.propose(ctx, command)
-	if err == nil {
-		return result.Edit, nil
-	}
-	if errors.Is(err, replica.ErrNotLeader) {
-		marked, leader, noLeader := s.forward(ctx, err)
-		if noLeader == nil {
-			response, err := forward(marked, apiv1.NewConfigProtobufClient(leader, s.client))
-			if err == nil {
-				return response, nil
-			}
-			return &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_UNKNOWN, Detail: err.Error()}, nil
-		}
-		err = noLeader
-	}
-	return &apiv1.EditResponse{Outcome: failedOutcome(err), Detail: err.Error()}, nil
+	return proposeOrForward(ctx, s, proposal[*apiv1.EditResponse]{
+		command: command,
+		answer:  (*apiv1.CommandResult).GetEdit,
+		forward: func(ctx context.Context, leader string) (*apiv1.EditResponse, error) {
+			return forward(ctx, apiv1.NewConfigProtobufClient(leader, s.client))
+		},
+		failed: func(outcome apiv1.EditOutcome, detail string) *apiv1.EditResponse {
+			return &apiv1.EditResponse{Outcome: outcome, Detail: detail}
+		},
+	}), nil
 }
 
 // Show returns branches of the tree (twirp service Config).
--- a/internal/control/moves_service.go
+++ b/internal/control/moves_service.go
@@ -4,11 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/replica"
 )
 
 // maxFollowWait is the longest time that Follow is held open.
@@ -38,22 +36,16 @@
 type forwardMove func(ctx context.Context, leader apiv1.Moves) (*apiv1.MoveResponse, error)
 
 func (s movesService) proposeMove(ctx context.Context, command *apiv1.Command, forward forwardMove) (*apiv1.MoveResponse, error) {
-	result, err := s.propose(ctx, command)
-	if err == nil {
-		return result.Move, nil
-	}
-	if errors.Is(err, replica.ErrNotLeader) {
-		marked, leader, noLeader := s.forward(ctx, err)
-		if noLeader == nil {
-			response, err := forward(marked, apiv1.NewMovesProtobufClient(leader, s.client))
-			if err == nil {
-				return response, nil
-			}
-			return &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_UNKNOWN, Detail: err.Error()}, nil
-		}
-		err = noLeader
-	}
-	return &apiv1.MoveResponse{Outcome: failedOutcome(err), Detail: err.Error()}, nil
+	return proposeOrForward(ctx, s.Server, proposal[*apiv1.MoveResponse]{
+		command: command,
+		answer:  (*apiv1.CommandResult).GetMove,
+		forward: func(ctx context.Context, leader string) (*apiv1.MoveResponse, error) {
+			return forward(ctx, apiv1.NewMovesProtobufClient(leader, s.client))
+		},
+		failed: func(outcome apiv1.EditOutcome, detail string) *apiv1.MoveResponse {
+			return &apiv1.MoveResponse{Outcome: outcome, Detail: detail}
+		},
+	}), nil
 }
 
 // List lists moves, the newest last.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -22,7 +21,7 @@
 
 // serve serves one address until the context ends, then lets the requests in flight end.
 func serve(ctx context.Context, name, addr string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", addr)
+	listener, err := listen(addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s address", name)
 	}
@@ -35,6 +34,7 @@
 		return errors.Wrapf(err, "serve %s address", name)
 	case <-ctx.Done():
 	}
+	listener.Drain()
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
 	return errors.Wrapf(server.Shutdown(stopping), "shut down %s address", name)
--- a/internal/member/directory.go
+++ b/internal/member/directory.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"maps"
+	"slices"
+
 	apiv1 "samphireflow/api/v1"
 )
 
@@ -39,7 +42,7 @@
 // Servers lists the backend servers by instance name.
 func (d *Directory) Servers() []*apiv1.BackendServer {
 	list := make([]*apiv1.BackendServer, 0, len(d.servers))
-	for _, instance := range sortedKeys(d.servers) {
+	for _, instance := range slices.Sorted(maps.Keys(d.servers)) {
 		list = append(list, d.servers[instance])
 	}
 	return list
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -1,7 +1,8 @@
 package member
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -155,7 +156,7 @@
 // and those whose home has been silent since before a time.
 func (s *leaseSet[R]) overdue(now time.Time, silent func(home string) bool) []R {
 	var list []R
-	for _, instance := range sortedKeys(s.leases) {
+	for _, instance := range slices.Sorted(maps.Keys(s.leases)) {
 		l := s.leases[instance]
 		here := l.record.GetHome() == s.self
 		if !l.gone && (here && now.After(l.expires) || !here && silent(l.record.GetHome()) && now.After(l.expires)) {
@@ -195,7 +196,7 @@
 // live lists the records whose lease runs, by instance name.
 func (s *leaseSet[R]) live() []R {
 	var list []R
-	for _, instance := range sortedKeys(s.leases) {
+	for _, instance := range slices.Sorted(maps.Keys(s.leases)) {
 		if l := s.leases[instance]; !l.gone {
 			list = append(list, l.record)
 		}
@@ -206,7 +207,7 @@
 // changed lists the records that changed after a sync number, by instance name; an empty home means all homes.
 func (s *leaseSet[R]) changed(since uint64, home string) []R {
 	var list []R
-	for _, instance := range sortedKeys(s.leases) {
+	for _, instance := range slices.Sorted(maps.Keys(s.leases)) {
 		l := s.leases[instance]
 		if l.syncSeq > since && (home == "" || l.record.GetHome() == home) {
 			list = append(list, l.record)
@@ -214,12 +215,3 @@
 	}
 	return list
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -205,7 +207,7 @@
 func (t *Table) Since(seq uint64, services map[string]bool) *apiv1.MembersUpdate {
 	full := seq == 0 || seq > t.counters.seq || seq < t.counters.forgotten
 	update := &apiv1.MembersUpdate{Seq: t.counters.seq, Full: full}
-	for _, instance := range sortedKeys(t.servers.leases) {
+	for _, instance := range slices.Sorted(maps.Keys(t.servers.leases)) {
 		l := t.servers.leases[instance]
 		wanted := !l.gone && (services == nil || services[l.record.Service])
 		switch {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // answer is the whole answer of a backend server.
@@ -10,10 +11,12 @@
 	status int
 	header http.Header
 	body   []byte
+	// took is the time of the exchange with the backend server, without what came before it had a connection.
+	took time.Duration
 }
 
 // systemHeaders are set by the system on an answer and are not taken over from a backend server or another node.
-var systemHeaders = []string{HeaderOutcome, HeaderRepeated, HeaderCall, HeaderDraining, headerGrant}
+var systemHeaders = []string{HeaderOutcome, HeaderRepeated, HeaderCall, HeaderDraining, headerGrant, headerTook}
 
 func (a *answer) write(w http.ResponseWriter, request *http.Request) {
 	header := w.Header()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -71,9 +71,15 @@
 		p.observe(c, server, outcome, now)
 		p.completed(c)
 	}
+	took := now.Sub(started)
+	if r.answer != nil {
+		// Versions are compared by what their backend servers take, not by the way there: the few calls to a new
+		// version open connections and go by gates more often.
+		took = r.answer.took
+	}
 	ok := r.fate == fateDone && r.answer.status < http.StatusInternalServerError
 	p.guard.Record(now, c.service.Config, server.Info.Version, !ok)
-	p.options.Recorder.Record(server.Info.Service, server.Info.Version, c.route.Config.Name, ok, r.fate == fateBroken && ended == nil, now.Sub(started))
+	p.options.Recorder.Record(server.Info.Service, server.Info.Version, c.route.Config.Name, ok, r.fate == fateBroken && ended == nil, took)
 }
 
 // observe counts an outcome and ejects an outlier while enough others stay.
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -5,6 +5,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // conn is a connection that counts the bytes handed to it.
@@ -46,7 +47,9 @@
 type sending struct {
 	conn   *conn
 	before int64
-	trace  httptrace.ClientTrace
+	// at is the time at which the attempt had its connection.
+	at    time.Time
+	trace httptrace.ClientTrace
 }
 
 func newSending() *sending {
@@ -58,6 +61,7 @@
 // gotConn is called when the attempt has got its connection and before its first byte is written. An attempt gets one
 // connection: its body cannot be read again, so the transport does not repeat it.
 func (s *sending) gotConn(info httptrace.GotConnInfo) {
+	s.at = time.Now()
 	if c, ok := info.Conn.(*conn); ok {
 		s.conn = c
 		s.before = c.written.Load()
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,9 @@
 // gatePath starts the path of a request to a gate.
 const gatePath = "/gate"
 
+// headerTook carries, on an answer of a gate, the time of its exchange with the backend server in microseconds.
+const headerTook = "Samphireflow-Took"
+
 // headerTarget names the backend server that a gate is to pass a request to.
 const headerTarget = "Samphireflow-Target"
 
@@ -73,6 +77,7 @@
 func (p *Proxy) judgeGate(got *answer, server *routing.Server) result {
 	switch Outcome(got.header.Get(HeaderOutcome)) {
 	case OutcomeDone:
+		got.took = readTook(got)
 		return judge(got, server)
 	case OutcomeNotRun:
 		draining := got.header.Get(HeaderDraining) != ""
@@ -87,6 +92,15 @@
 	return broken("backend server " + server.Info.Instance + " did not answer whole")
 }
 
+// readTook returns the time that a gate took for its exchange, or the time of both hops where it does not say.
+func readTook(got *answer) time.Duration {
+	us, err := strconv.ParseInt(got.header.Get(headerTook), 10, 64)
+	if err != nil || us < 0 {
+		return got.took
+	}
+	return min(time.Duration(us)*time.Microsecond, got.took)
+}
+
 // judge tells an answer from a refusal of the backend server.
 func judge(got *answer, server *routing.Server) result {
 	if got.header.Get(HeaderShed) != "" {
--- a/internal/proxy/trip.go
+++ b/internal/proxy/trip.go
@@ -73,7 +73,11 @@
 		}
 		return nil, errors.Wrap(err, "round trip")
 	}
-	return readAnswer(request, response)
+	got, err := readAnswer(request, response)
+	if err == nil {
+		got.took = time.Since(sending.at)
+	}
+	return got, err
 }
 
 // readAnswer reads a whole answer and refuses one that may be cut short or belong to another request.
