--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/periodic"
 )
 
 const (
@@ -135,16 +136,9 @@
 
 // Run syncs whenever the holder lacks memory, until the context ends.
 func (h *Holder) Run(ctx context.Context) error {
-	ticker := time.NewTicker(syncInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			h.SyncOnce(ctx)
-		}
-	}
+	return periodic.Run(ctx, syncInterval, func(_ time.Time) {
+		h.SyncOnce(ctx)
+	})
 }
 
 // SyncOnce reads the memory of the other holders if this one lacks its own. It reports whether the holder answers
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -10,6 +10,7 @@
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
 	"samphireflow/internal/outcome"
+	"samphireflow/internal/periodic"
 )
 
 const (
@@ -189,33 +190,19 @@
 
 // FlushLoop shows the changes of a hub in batches until the context ends.
 func FlushLoop(ctx context.Context, hub *member.Hub) error {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			hub.Flush()
-		}
-	}
+	return periodic.Run(ctx, flushInterval, func(_ time.Time) {
+		hub.Flush()
+	})
 }
 
 // reportLoop passes outcomes up to one control instance.
 func (r *Relay) reportLoop(ctx context.Context, index int) error {
-	ticker := time.NewTicker(upReportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			to := r.controls[index].client
-			if err := r.up[index].Send(ctx, to.Distribution); err != nil {
-				r.options.Logger.Debug().Err(err).Str("control", to.Addr).Msg("report not passed up")
-			}
+	return periodic.Run(ctx, upReportInterval, func(_ time.Time) {
+		to := r.controls[index].client
+		if err := r.up[index].Send(ctx, to.Distribution); err != nil {
+			r.options.Logger.Debug().Err(err).Str("control", to.Addr).Msg("report not passed up")
 		}
-	}
+	})
 }
 
 // pause waits for about the given time, less when the context ends.
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -11,6 +11,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/balance"
+	"samphireflow/internal/periodic"
 )
 
 const (
@@ -60,16 +61,9 @@
 
 // Run forgets what is too old until the context ends.
 func (w *Watch) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			w.book.Sweep(w.options.Now())
-		}
-	}
+	return periodic.Run(ctx, sweepInterval, func(_ time.Time) {
+		w.book.Sweep(w.options.Now())
+	})
 }
 
 // Active reports whether any request is suspect.
