Publish whole documents, adopt versions, and let control groups and nodes grow from seeds

Cause: the users' platform gives the whole configuration at once under numbers of its own, tells nobody how many control instances there are, and names versions of backend servers only by their announcements. Change: Config.Publish and Published with compare-and-set on the operator's number and a lasting record of accepted documents; routes by host and prefix with splits, attempts, priorities and objectives as settings of the tree; open control groups joined by seeds; nodes that follow control instances directly and learn further ones; heartbeats ordered by start and sequence.

--- /dev/null
+++ b/internal/control/publish_service.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"context"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// publishOutcomes turns the fate of a command into that of a document.
+var publishOutcomes = map[apiv1.EditOutcome]apiv1.PublishOutcome{
+	apiv1.EditOutcome_EDIT_OUTCOME_NOT_ACCEPTED: apiv1.PublishOutcome_PUBLISH_OUTCOME_NOT_ACCEPTED,
+	apiv1.EditOutcome_EDIT_OUTCOME_UNKNOWN:      apiv1.PublishOutcome_PUBLISH_OUTCOME_UNKNOWN,
+}
+
+// Publish proposes a document (twirp service Config).
+func (s *Server) Publish(ctx context.Context, request *apiv1.PublishRequest) (*apiv1.PublishResponse, error) {
+	response := proposeOrForward(ctx, s, proposal[*apiv1.PublishResponse]{
+		command: &apiv1.Command{Kind: &apiv1.Command_Publish{Publish: request}},
+		answer:  (*apiv1.CommandResult).GetPublish,
+		forward: func(ctx context.Context, leader string) (*apiv1.PublishResponse, error) {
+			return apiv1.NewConfigProtobufClient(leader, s.client).Publish(ctx, request)
+		},
+		failed: func(outcome apiv1.EditOutcome, detail string) *apiv1.PublishResponse {
+			return &apiv1.PublishResponse{Outcome: publishOutcomes[outcome], Detail: detail}
+		},
+	})
+	s.options.Logger.Info().Uint64("number", request.Number).Uint64("base_number", request.BaseNumber).
+		Str("outcome", response.Outcome.String()).Uint64("in_force", response.Number).Uint64("version", response.Version).
+		Bool("repeated", response.RepeatedAnswer).Str("detail", response.Detail).Interface("faults", response.Faults).
+		Msg("document proposed")
+	return response, nil
+}
+
+// Published returns the document in force (twirp service Config).
+func (s *Server) Published(ctx context.Context, _ *apiv1.PublishedRequest) (*apiv1.PublishedResponse, error) {
+	if _, err := s.read(ctx, false); err != nil {
+		return nil, err
+	}
+	document := s.options.Machine.View().Document()
+	return &apiv1.PublishedResponse{Number: document.GetNumber(), Content: document.GetContent()}, nil
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -32,6 +32,8 @@
 	Machine  *state.Machine
 	// Client reaches the other processes; nil for one of the server's own.
 	Client *http.Client
+	// Direct lets the nodes follow the control instances themselves: no relays and no claim holders are assigned.
+	Direct bool
 	Logger zerolog.Logger
 }
 
@@ -129,6 +131,9 @@
 	group.Go(func() error { return s.exchange.Run(ctx) })
 	group.Go(func() error { return distribution.FlushLoop(ctx, s.members) })
 	group.Go(func() error { return s.moveLoop(ctx) })
-	group.Go(func() error { return s.assignLoop(ctx) })
+	group.Go(func() error { return s.adoptLoop(ctx) })
+	if !s.options.Direct {
+		group.Go(func() error { return s.assignLoop(ctx) })
+	}
 	return group.Wait()
 }
--- a/internal/control/source.go
+++ b/internal/control/source.go
@@ -51,3 +51,12 @@
 func (s source) MembersComplete() bool {
 	return s.exchange.Taken() || s.now().Sub(s.started) > distribution.MembersGrace
 }
+
+// ControlAddrs lists the members of the control group, so that nodes know of others than their settings name.
+func (s source) ControlAddrs() []string {
+	var addrs []string
+	for _, member := range s.options.Log.Status().Members {
+		addrs = append(addrs, member.ControlAddr)
+	}
+	return addrs
+}
--- a/internal/distribution/relay_source.go
+++ b/internal/distribution/relay_source.go
@@ -56,3 +56,6 @@
 	defer s.mu.Unlock()
 	return s.membersComplete || time.Since(s.started) > MembersGrace
 }
+
+// ControlAddrs is empty: the nodes of a relay have the control instances from their settings.
+func (s *relayState) ControlAddrs() []string { return nil }
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -21,4 +21,6 @@
 	Age() time.Duration
 	// MembersComplete reports whether the table of members can be handed down; shortly after a start it cannot.
 	MembersComplete() bool
+	// ControlAddrs lists the control addresses of the control group, as far as they are known here.
+	ControlAddrs() []string
 }
--- a/internal/distribution/watch_server.go
+++ b/internal/distribution/watch_server.go
@@ -97,6 +97,7 @@
 	response := &apiv1.WatchResponse{
 		AcceptedVersion: s.source.Accepted(),
 		AgeMs:           uint64(s.source.Age().Milliseconds()),
+		ControlAddrs:    s.source.ControlAddrs(),
 	}
 	history := s.source.History(request.FailureDomain)
 	if history == nil {
--- a/internal/distribution/watch_server_test.go
+++ b/internal/distribution/watch_server_test.go
@@ -24,6 +24,7 @@
 func (s fixedSource) Changed() <-chan struct{}                       { return nil }
 func (s fixedSource) Age() time.Duration                             { return 0 }
 func (s fixedSource) MembersComplete() bool                          { return true }
+func (s fixedSource) ControlAddrs() []string                         { return nil }
 
 // TestStormOfWatchersIsBounded asks for the same snapshot many times at once: what is sent in the first second stays
 // below the burst and one second's rate, and who is sent away is told when to come back.
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -26,6 +26,12 @@
 	}
 	request.Server.Node = n.options.Instance
 	request.Server.NodeControlAddr = n.options.ControlAddr
+	request.Server.GateAddr = n.options.GateAddr
+	if !n.inOrder(request) {
+		n.options.Logger.Info().Str("backend_server", request.Server.Instance).Uint64("incarnation", request.Server.Incarnation).
+			Uint64("sequence", request.Sequence).Msg("late heartbeat passed over")
+		return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
+	}
 	if n.takeAnnouncement(request.Server) {
 		n.revise()
 		n.wakeRenewal()
--- a/internal/node/floor.go
+++ b/internal/node/floor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
@@ -11,7 +12,13 @@
 // floorLoop finds the newest version that this node may have applied before it started. It returns only when it is
 // known: until then the node serves nothing, because an older version would be a step back.
 func (n *Node) floorLoop(ctx context.Context) (uint64, error) {
+	begun := time.Now()
+	patience := n.options.Timing.FloorPatience
 	for ctx.Err() == nil {
+		if patience > 0 && time.Since(begun) > patience {
+			n.options.Logger.Warn().Dur("patience_ms", patience).Msg("floor of the configuration version not known, no quorum answers; serving by what is known here")
+			return 0, nil
+		}
 		round := newFloorRound()
 		n.askFloor(ctx, round)
 		if relays := round.newest(); n.selector.learn(relays) {
@@ -49,7 +56,7 @@
 }
 
 func (n *Node) isControl(addr string) bool {
-	for _, control := range n.options.Control {
+	for _, control := range n.selector.controls() {
 		if control == addr {
 			return true
 		}
@@ -71,7 +78,7 @@
 	for _, relay := range n.relay.Relays().GetNodes() {
 		add(n.dial(relay.ControlAddr))
 	}
-	for _, addr := range append(append([]string(nil), n.options.Seeds...), n.options.Control...) {
+	for _, addr := range append(append([]string(nil), n.options.Seeds...), n.selector.controls()...) {
 		add(n.dial(addr))
 	}
 	return clients
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	// node; both are guarded by mu.
 	mu        sync.Mutex
 	announced *announcement
+	last      heartbeat
 	revision  uint64
 	// drained is the platform's word that the backend server leaves, leaving this node's own stop; guarded by mu.
 	drained bool
@@ -71,6 +72,7 @@
 
 // New returns a node that has not started.
 func New(options Options) *Node {
+	options.Timing = options.Timing.withDefaults()
 	if options.Client == nil {
 		options.Client = distribution.NewHTTPClient()
 	}
@@ -157,7 +159,9 @@
 // Run follows the control group until the context ends, then tells it that the node leaves.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return n.relay.Run(ctx) })
+	if !n.options.Direct {
+		group.Go(func() error { return n.relay.Run(ctx) })
+	}
 	group.Go(func() error { return n.watchLoop(ctx) })
 	group.Go(func() error { return n.homeLoop(ctx) })
 	group.Go(func() error { return n.renewLoop(ctx) })
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -25,6 +25,12 @@
 	Services []string
 	// Client reaches the other processes; nil for one of the node's own.
 	Client *http.Client
+	// GateAddr is the address of this node's gate, where that is not the control address.
+	GateAddr string
+	// Direct lets the node follow the control instances without relays, and learn of further control instances.
+	Direct bool
+	// Timing holds the times that depend on the size of the deployment; zero for those of a large one.
+	Timing Timing
 	// OnApply is told each snapshot that the node begins to act on; nil for nobody.
 	OnApply func(*apiv1.Snapshot)
 	Logger  zerolog.Logger
@@ -39,8 +45,6 @@
 	renewFailures = 2
 	// reportInterval is the time between reports of outcomes.
 	reportInterval = time.Second
-	// watchWait is the longest time that a watch is held open.
-	watchWait = 10 * time.Second
 	// requestTimeout bounds every other request.
 	requestTimeout = 2 * time.Second
 	// retryPause is the first mean pause after a failed watch, and maxRetryPause the longest.
@@ -51,8 +55,6 @@
 	// relayAfter is the mean time after which a node that follows a control instance, although relays are assigned,
 	// tries the relays again.
 	relayAfter = 2 * time.Second
-	// staleAge is the age of a relay's word above which a node looks for a relay that has heard more.
-	staleAge = 6 * time.Second
 	// membersRate is what a node takes of membership changes on average, in bytes a second, membersBurst what it takes
 	// at once after a quiet time, and maxMembersDelay the longest time that it goes without them.
 	membersRate     = 3 << 10
--- a/internal/node/selector.go
+++ b/internal/node/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	apiv1 "samphireflow/api/v1"
@@ -15,9 +16,9 @@
 	instance string
 	own      *distribution.Client
 	dial     func(addr string) *distribution.Client
-	control  []string
 
 	mu      sync.Mutex
+	control []string
 	relays  *apiv1.Assignment
 	choices []*distribution.Client
 	current int
@@ -48,6 +49,28 @@
 	return true
 }
 
+// learnControl adds control instances that the settings do not name. It reports whether any was new.
+func (s *selector) learnControl(addrs []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	learned := false
+	for _, addr := range addrs {
+		if !slices.Contains(s.control, addr) {
+			s.control = append(slices.Clip(s.control), addr)
+			s.choices = append(slices.Clip(s.choices), s.dial(addr))
+			learned = true
+		}
+	}
+	return learned
+}
+
+// controls lists the known control instances.
+func (s *selector) controls() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.control)
+}
+
 // rank lists the choices, the best first. Control instances stand in random order, so that they share the load.
 func (s *selector) rank() []*distribution.Client {
 	var choices []*distribution.Client
@@ -82,12 +105,16 @@
 	return s.choices[s.current], s.switched
 }
 
-// others lists the relays that are not in use.
+// others lists the relays that are not in use, or the control instances where there are no relays.
 func (s *selector) others() []*distribution.Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	choices := s.choices
+	if relays := len(s.choices) - len(s.control); relays > 0 {
+		choices = choices[:relays]
+	}
 	var list []*distribution.Client
-	for i, choice := range s.choices[:len(s.choices)-len(s.control)] {
+	for i, choice := range choices {
 		if i != s.current {
 			list = append(list, choice)
 		}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -92,7 +92,7 @@
 }
 
 func (n *Node) watchOnce(ctx context.Context, from *distribution.Client, switched <-chan struct{}) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.WatchWait+n.watchSlack())
 	defer cancel()
 	ended := make(chan struct{})
 	defer close(ended)
@@ -120,7 +120,7 @@
 		Instance:       n.options.Instance,
 		FailureDomain:  n.options.FailureDomain,
 		Services:       n.options.Services,
-		WaitMs:         uint32(watchWait.Milliseconds()),
+		WaitMs:         uint32(n.options.Timing.WatchWait.Milliseconds()),
 		RelaysEpoch:    n.selector.epoch(),
 		MembersAfterMs: uint32(max(0, time.Until(n.membersAt).Milliseconds())),
 	}
@@ -142,6 +142,9 @@
 // word of a sender that is behind is.
 func (n *Node) takeResponse(ctx context.Context, from *distribution.Client, response *apiv1.WatchResponse) error {
 	n.learnRelays(response.Relays)
+	if n.options.Direct && n.selector.learnControl(response.ControlAddrs) {
+		n.options.Logger.Info().Strs("control", response.ControlAddrs).Msg("control instances learned")
+	}
 	changed, refused := n.applier.take(response)
 	if refused != nil {
 		n.options.Logger.Warn().Err(refused).Str("upstream", from.Addr).Msg("configuration refused")
@@ -160,7 +163,7 @@
 	if errors.Is(refused, ErrOlder) {
 		return refused
 	}
-	if time.Duration(response.AgeMs)*time.Millisecond > staleAge {
+	if time.Duration(response.AgeMs)*time.Millisecond > n.options.Timing.StaleAge {
 		n.lookForFresher(ctx, from, response.AgeMs)
 	}
 	return nil
@@ -225,9 +228,14 @@
 		asked, cancel := context.WithTimeout(ctx, renewTimeout)
 		response, err := other.Distribution.Floor(asked, &apiv1.FloorRequest{FailureDomain: n.options.FailureDomain})
 		cancel()
-		if err == nil && response.AgeMs+uint64(staleAge.Milliseconds()) < ageMs {
+		if err == nil && response.AgeMs+uint64(n.options.Timing.StaleAge.Milliseconds()) <= ageMs {
 			n.selector.use(other)
 			return
 		}
 	}
 }
+
+// watchSlack is the time beyond its wait in which the answer to a watch must come.
+func (n *Node) watchSlack() time.Duration {
+	return min(requestTimeout, n.options.Timing.WatchWait)
+}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -76,6 +76,9 @@
 	for _, member := range r.options.Members {
 		addrs[member.ControlAddr] = true
 	}
+	for _, addr := range r.options.Seeds {
+		addrs[addr] = true
+	}
 	for len(r.status.Load().Members) == 0 {
 		responses := r.askToJoin(ctx, addrs)
 		if err := r.call(ctx, func() { r.takeJoinAnswers(responses) }); err != nil {
--- a/internal/replica/maintain.go
+++ b/internal/replica/maintain.go
@@ -8,6 +8,9 @@
 const (
 	// silentTicks is how long a member must be silent before another folder may take its place.
 	silentTicks = 4 * raft.DefaultElectionTicks
+	// deadTicks is how long a voter must be silent before a new instance takes its place: 6 s at the default tick, longer
+	// than a restart takes.
+	deadTicks = 15 * raft.DefaultElectionTicks
 	// joinerTicks is how long a question to join stays valid.
 	joinerTicks = 4 * raft.DefaultElectionTicks
 )
@@ -22,6 +25,11 @@
 	return known && ticks >= silentTicks
 }
 
+func (v leaderView) dead(id string) bool {
+	ticks, known := v.node.SilentTicks(id)
+	return known && ticks >= deadTicks
+}
+
 func (v leaderView) caughtUp(id string) bool {
 	return v.node.CaughtUp(id)
 }
@@ -41,7 +49,7 @@
 		asking = append(asking, j.member)
 	}
 	sortMembers(asking)
-	next, due := nextMembership(r.node.Membership().GetMembers(), asking, r.invited, leaderView{r.node})
+	next, due := nextMembership(r.node.Membership().GetMembers(), asking, r.mayJoin, leaderView{r.node})
 	if !due {
 		return
 	}
@@ -49,3 +57,8 @@
 		r.options.Logger.Info().Interface("members", membersOf(next)).Msg("the control group changes")
 	}
 }
+
+// mayJoin reports whether an instance of a new name may join the group.
+func (r *Replica) mayJoin(name string) bool {
+	return r.options.Open || r.invited[name]
+}
--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -8,6 +8,8 @@
 type memberView interface {
 	// silent reports whether a member was not heard for long.
 	silent(id string) bool
+	// dead reports whether a member was not heard for so long that another may replace it.
+	dead(id string) bool
 	caughtUp(id string) bool
 }
 
@@ -15,8 +17,9 @@
 //
 // A blank folder of a known name takes the place of that name's old folder, once the old one is silent: it joins
 // as a learner, catches up, the old voter is removed and the learner gets its vote. A new name joins only when an
-// operator has invited it.
-func nextMembership(members []*apiv1.ReplicaMember, joiners []*apiv1.ReplicaMember, invited map[string]bool, view memberView) ([]*apiv1.ReplicaMember, bool) {
+// operator has invited it or the group is open. It takes the place of a voter that is dead, if there is one, so that the
+// quorum does not grow with each instance that is exchanged.
+func nextMembership(members []*apiv1.ReplicaMember, joiners []*apiv1.ReplicaMember, mayJoin func(name string) bool, view memberView) ([]*apiv1.ReplicaMember, bool) {
 	for _, learner := range members {
 		if !learner.Learner || !view.caughtUp(learner.Id) {
 			continue
@@ -24,11 +27,14 @@
 		if old := otherFolder(members, learner); old != nil {
 			return without(members, old.Id), true
 		}
+		if dead := deadVoter(members, view); dead != nil {
+			return without(members, dead.Id), true
+		}
 		return promoted(members, learner.Id), true
 	}
 	for _, asking := range joiners {
 		old := otherFolder(members, asking)
-		if find(members, asking.Id) != nil || (old == nil && !invited[asking.Name]) {
+		if find(members, asking.Id) != nil || (old == nil && !mayJoin(asking.Name)) {
 			continue
 		}
 		if old != nil && !view.silent(old.Id) {
@@ -52,6 +58,16 @@
 	return nil
 }
 
+// deadVoter returns a voter that a caught-up learner may replace.
+func deadVoter(members []*apiv1.ReplicaMember, view memberView) *apiv1.ReplicaMember {
+	for _, member := range members {
+		if !member.Learner && view.dead(member.Id) {
+			return member
+		}
+	}
+	return nil
+}
+
 // staleLearner returns a learner of the same name whose folder was lost before it had caught up.
 func staleLearner(members []*apiv1.ReplicaMember, member *apiv1.ReplicaMember) *apiv1.ReplicaMember {
 	for _, other := range members {
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"slices"
 	"strconv"
 
 	apiv1 "samphireflow/api/v1"
@@ -21,6 +22,7 @@
 		snap.Resources = append(snap.Resources, buildResource(view.Tree, branch.Path))
 	}
 	snap.Assignments = assignmentsFor(view, failureDomain)
+	snap.Settings = resolved(view.Tree, tree.Path{Level: tree.LevelGlobal}.At(failureDomain), callerKeys)
 	sortEntities(snap.Services)
 	sortEntities(snap.Routes)
 	sortEntities(snap.Resources)
@@ -66,6 +68,10 @@
 	pattern, _ := branch.Get(tree.KeyRoutePath)
 	at := branch.Path.At(failureDomain)
 	idempotent, _ := strconv.ParseBool(settings.Text(at, tree.KeyRouteIdempotent))
+	keys := routeKeys
+	if _, byHost := branch.Get(tree.KeyRouteHost); byHost {
+		keys = append(slices.Clone(routeKeys), hostRouteKeys...)
+	}
 	return &apiv1.RouteConfig{
 		Name:       branch.Path.Service + "/" + branch.Path.Route,
 		Service:    branch.Path.Service,
@@ -73,7 +79,7 @@
 		Path:       pattern,
 		Idempotent: idempotent,
 		RateLimit:  settings.Text(at, tree.KeyRateLimit),
-		Settings:   resolved(settings, at, routeKeys),
+		Settings:   resolved(settings, at, keys),
 	}
 }
 
@@ -86,8 +92,14 @@
 	serviceKeys = []string{
 		tree.KeySpillThreshold, tree.KeySlowStart, tree.KeyEjectErrorRate, tree.KeyEjectMaxShare, tree.KeyEjectTime,
 		tree.KeyQueueLength, tree.KeyCallerShare, tree.KeyDrainTimeout, tree.KeyMoveErrorMargin, tree.KeyMoveLatencyRatio,
+		tree.KeyServiceHealthPath, tree.KeyServiceConnLimit,
+	}
+	routeKeys = []string{tree.KeyCallTimeout, tree.KeyRetryLimit, tree.KeyRetryBudget, tree.KeyClaimRetention}
+	// hostRouteKeys are the further keys of a route by host and prefix.
+	hostRouteKeys = []string{
+		tree.KeyRouteHost, tree.KeyRoutePrefix, tree.KeyRouteSplit, tree.KeyRouteAttempts, tree.KeyRoutePriority, tree.KeyRouteObjective,
 	}
-	routeKeys    = []string{tree.KeyCallTimeout, tree.KeyRetryLimit, tree.KeyRetryBudget, tree.KeyClaimRetention}
+	callerKeys   = []string{tree.KeyCallerHeaderBytes, tree.KeyCallerBodyBytes, tree.KeyCallerHeaderTime, tree.KeyCallerIdleTime}
 	resourceKeys = []string{tree.KeyResourceCallsRate, tree.KeyResourceBurst}
 )
 
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -22,6 +22,7 @@
 	delta.Routes, delta.RemovedRoutes = diffEntities(from.Routes, to.Routes)
 	delta.Resources, delta.RemovedResources = diffEntities(from.Resources, to.Resources)
 	delta.Assignments = diffAssignments(from.Assignments, to.Assignments)
+	delta.Settings = to.Settings
 	return delta
 }
 
@@ -58,6 +59,7 @@
 		Routes:        applyEntities(from.Routes, delta.Routes, delta.RemovedRoutes),
 		Resources:     applyEntities(from.Resources, delta.Resources, delta.RemovedResources),
 		Assignments:   applyAssignments(from.Assignments, delta.Assignments),
+		Settings:      delta.Settings,
 		Digest:        delta.Digest,
 	}
 	return next, Check(next)
@@ -86,7 +88,7 @@
 // Share returns the later of two snapshots with the parts that did not change taken from the earlier one, so that
 // many versions in memory cost little more than one.
 func Share(from, to *apiv1.Snapshot) *apiv1.Snapshot {
-	shared := &apiv1.Snapshot{Version: to.Version, Term: to.Term, FailureDomain: to.FailureDomain, Assignments: to.Assignments, Digest: to.Digest}
+	shared := &apiv1.Snapshot{Version: to.Version, Term: to.Term, FailureDomain: to.FailureDomain, Assignments: to.Assignments, Settings: to.Settings, Digest: to.Digest}
 	shared.Services = shareEntities(from.Services, to.Services)
 	shared.Routes = shareEntities(from.Routes, to.Routes)
 	shared.Resources = shareEntities(from.Resources, to.Resources)
--- a/internal/snapshot/digest.go
+++ b/internal/snapshot/digest.go
@@ -17,7 +17,7 @@
 		buffer, _ = options.MarshalAppend(buffer[:0], message)
 		_, _ = hash.Write(buffer)
 	}
-	add(&apiv1.Snapshot{Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain})
+	add(&apiv1.Snapshot{Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain, Settings: snap.Settings})
 	for _, service := range snap.Services {
 		add(service)
 	}
--- a/internal/state/edits.go
+++ b/internal/state/edits.go
@@ -22,7 +22,7 @@
 		Comment:  request.Comment,
 		Branches: request.Branches,
 	}
-	return m.accept(view, next, entry, view.Tree.Before(request), now, term)
+	return m.accept(view, next, entry, view.Tree.Before(request), view.document, now, term)
 }
 
 // Check validates an edit against a view. It returns the edited tree, or the answer that refuses the edit.
@@ -76,9 +76,10 @@
 	return faults
 }
 
-func (m *Machine) accept(view *View, changed *tree.Tree, entry *apiv1.HistoryEntry, before []*apiv1.Branch, now int64, term uint64) *apiv1.EditResponse {
+func (m *Machine) accept(view *View, changed *tree.Tree, entry *apiv1.HistoryEntry, before []*apiv1.Branch, document *apiv1.Document, now int64, term uint64) *apiv1.EditResponse {
 	next := view.next(term)
 	next.Tree = changed
+	next.document = document
 	next.versions = keepVersions(view.versions, changed)
 	entry.Version = next.Version
 	entry.AcceptedUnixMs = now
--- a/internal/state/image.go
+++ b/internal/state/image.go
@@ -20,6 +20,7 @@
 	view.Tree = restored
 	view.history = image.History
 	view.assignments = image.Assignments
+	view.document = image.Document
 	for _, move := range image.Moves {
 		view.moves[move.Id] = move
 		view.order = append(view.order, move.Id)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -16,6 +16,8 @@
 type Machine struct {
 	view    atomic.Pointer[View]
 	answers *answers
+	// documents holds every document that was ever accepted.
+	documents *documents
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -23,7 +25,7 @@
 
 // NewMachine returns a machine at version 0.
 func NewMachine() *Machine {
-	m := &Machine{answers: newAnswers(answerLimit), changed: make(chan struct{})}
+	m := &Machine{answers: newAnswers(answerLimit), documents: newDocuments(nil), changed: make(chan struct{})}
 	m.view.Store(emptyView())
 	return m
 }
@@ -84,6 +86,10 @@
 		return &apiv1.CommandResult{Move: m.stepMove(kind.StepMove, command.ProposedUnixMs, term)}
 	case *apiv1.Command_Assign:
 		return &apiv1.CommandResult{Edit: m.assign(kind.Assign, command.ProposedUnixMs, term)}
+	case *apiv1.Command_Publish:
+		return &apiv1.CommandResult{Publish: m.publishDocument(kind.Publish, command.ProposedUnixMs, term)}
+	case *apiv1.Command_Adopt:
+		return &apiv1.CommandResult{Edit: m.adopt(kind.Adopt, term)}
 	}
 	return refused("unknown command")
 }
@@ -137,6 +143,8 @@
 	return &apiv1.CommandResult{
 		Edit: &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Detail: detail},
 		Move: &apiv1.MoveResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_INVALID, Detail: detail},
+
+		Publish: &apiv1.PublishResponse{Outcome: apiv1.PublishOutcome_PUBLISH_OUTCOME_INVALID, Detail: detail},
 	}
 }
 
@@ -160,6 +168,9 @@
 		Moves:           view.Moves(),
 		ServiceVersions: versionMessages(view.versions),
 		Assignments:     view.assignments,
+
+		Document:          view.document,
+		AcceptedDocuments: m.documents.list(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(image)
 	return data, errors.Wrap(err, "encode state")
@@ -175,6 +186,7 @@
 	if err != nil {
 		return err
 	}
+	m.documents = newDocuments(image.AcceptedDocuments)
 	m.answers = newAnswers(answerLimit)
 	for _, answer := range image.Answers {
 		m.answers.put(answer)
--- /dev/null
+++ b/internal/state/publish.go
@@ -0,0 +1,96 @@
+package state
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tree"
+)
+
+// publishDocument replaces all services and routes by those of a document.
+//
+// Invariant: of all documents that build on one number at most one is accepted, and a document that was accepted once is
+// answered as accepted for good, whatever is in force by then.
+func (m *Machine) publishDocument(request *apiv1.PublishRequest, now int64, term uint64) *apiv1.PublishResponse {
+	view := m.View()
+	key := keyOf(request)
+	if m.documents.accepted(key) {
+		return &apiv1.PublishResponse{
+			Outcome:        apiv1.PublishOutcome_PUBLISH_OUTCOME_ACCEPTED,
+			Number:         view.document.GetNumber(),
+			RepeatedAnswer: true,
+		}
+	}
+	changed, edit, response := CheckDocument(view, request)
+	if response != nil {
+		return response
+	}
+	m.documents.add(key)
+	accepted := m.accept(view, changed, &apiv1.HistoryEntry{
+		EditId:   edit.EditId,
+		Operator: edit.Operator,
+		Comment:  edit.Comment,
+		Branches: edit.Branches,
+	}, view.Tree.Before(edit), &apiv1.Document{Number: request.Number, Content: request.Content}, now, term)
+	return &apiv1.PublishResponse{
+		Outcome: apiv1.PublishOutcome_PUBLISH_OUTCOME_ACCEPTED,
+		Number:  request.Number,
+		Version: accepted.Version,
+	}
+}
+
+// CheckDocument validates a document against a view. It returns the tree that the document leads to and the edit that
+// leads there, or the answer that refuses the document.
+func CheckDocument(view *View, request *apiv1.PublishRequest) (*tree.Tree, *apiv1.EditRequest, *apiv1.PublishResponse) {
+	current := view.document.GetNumber()
+	refuse := func(outcome apiv1.PublishOutcome, detail string, faults []*apiv1.Fault) (*tree.Tree, *apiv1.EditRequest, *apiv1.PublishResponse) {
+		return nil, nil, &apiv1.PublishResponse{Outcome: outcome, Number: current, Detail: detail, Faults: faults}
+	}
+	if request.BaseNumber != current {
+		return refuse(apiv1.PublishOutcome_PUBLISH_OUTCOME_CONFLICT,
+			fmt.Sprintf("document %d is in force, document %d builds on %d", current, request.Number, request.BaseNumber), nil)
+	}
+	if request.Number <= current {
+		return refuse(apiv1.PublishOutcome_PUBLISH_OUTCOME_INVALID,
+			fmt.Sprintf("number %d is not above %d, which is in force", request.Number, current), nil)
+	}
+	digest := keyOf(request).digest
+	edit := &apiv1.EditRequest{
+		EditId:   fmt.Sprintf("document/%d/%s", request.Number, hex.EncodeToString(digest[:8])),
+		Operator: request.Operator,
+		Comment:  fmt.Sprintf("document %d", request.Number),
+	}
+	branches, faults := view.Tree.ReplaceServices(request.Branches)
+	if len(faults) > 0 {
+		return refuse(apiv1.PublishOutcome_PUBLISH_OUTCOME_INVALID, fmt.Sprintf("%d faults", len(faults)), faults)
+	}
+	edit.Branches = branches
+	if len(branches) == 0 {
+		// The document differs only in what has no place in the tree, such as its number.
+		return view.Tree, edit, nil
+	}
+	next, _, faults := view.Tree.Apply(edit, view.Version+1)
+	if len(faults) > 0 {
+		return refuse(apiv1.PublishOutcome_PUBLISH_OUTCOME_INVALID, fmt.Sprintf("%d faults", len(faults)), faults)
+	}
+	return next, edit, nil
+}
+
+// adopt names the version of a service that none was known of. A version that a move or an operator has set stays.
+func (m *Machine) adopt(request *apiv1.AdoptVersion, term uint64) *apiv1.EditResponse {
+	view := m.View()
+	service := tree.Path{Level: tree.LevelService, Service: request.Service}
+	if view.Tree.Branch(service) == nil || view.ServiceVersion(request.Service) != "" || request.Version == "" {
+		return &apiv1.EditResponse{
+			Outcome: apiv1.EditOutcome_EDIT_OUTCOME_CONFLICT,
+			Version: view.Version,
+			Detail:  fmt.Sprintf("service %q does not exist or has a version", request.Service),
+		}
+	}
+	next := view.next(term)
+	next.versions = keepVersions(view.versions, view.Tree)
+	next.versions[request.Service] = request.Version
+	m.publish(next)
+	return &apiv1.EditResponse{Outcome: apiv1.EditOutcome_EDIT_OUTCOME_ACCEPTED, Version: next.Version}
+}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -20,6 +20,8 @@
 	order       []string
 	history     []*apiv1.HistoryEntry
 	assignments []*apiv1.Assignment
+	// document is the published document in force, nil before the first.
+	document *apiv1.Document
 }
 
 func emptyView() *View {
@@ -34,6 +36,11 @@
 	return v.Tree.Text(tree.Path{Level: tree.LevelService, Service: service}, tree.KeyServiceVersion)
 }
 
+// Document returns the published document in force, nil before the first. The message must not be changed.
+func (v *View) Document() *apiv1.Document {
+	return v.document
+}
+
 // Move returns a move by ID, nil when there is none. The message must not be changed.
 func (v *View) Move(id string) *apiv1.Move {
 	return v.moves[id]
--- a/internal/tree/edit.go
+++ b/internal/tree/edit.go
@@ -170,8 +170,10 @@
 		faults = append(faults, &apiv1.Fault{Path: path, Message: "there is no branch " + parent.String()})
 	}
 	for _, setting := range branch.Settings() {
-		if target, ok := referenceTarget(specByKey[setting.Key], setting.Value); ok && t.branches[target] == nil {
-			faults = append(faults, &apiv1.Fault{Path: path, Key: setting.Key, Message: "refers to " + target.String() + ", which does not exist"})
+		for _, target := range referenceTargets(specByKey[setting.Key], setting.Value) {
+			if t.branches[target] == nil {
+				faults = append(faults, &apiv1.Fault{Path: path, Key: setting.Key, Message: "refers to " + target.String() + ", which does not exist"})
+			}
 		}
 	}
 	if branch.Path.Level == LevelService {
@@ -182,31 +184,56 @@
 	return faults
 }
 
-func referenceTarget(spec *Spec, name string) (Path, bool) {
+// referenceTargets lists the branches that a value refers to.
+func referenceTargets(spec *Spec, value string) []Path {
 	switch spec.Kind {
 	case KindServiceRef:
-		return Path{Level: LevelService, Service: name}, true
+		return []Path{{Level: LevelService, Service: value}}
 	case KindResourceRef:
-		return Path{Level: LevelResource, Resource: name}, true
+		return []Path{{Level: LevelResource, Resource: value}}
+	case KindSplit:
+		// The value is canonical: it has been parsed before.
+		split, _ := ParseSplit(value)
+		targets := make([]Path, len(split))
+		for i, part := range split {
+			targets[i] = Path{Level: LevelService, Service: part.Service}
+		}
+		return targets
 	}
-	return Path{}, false
+	return nil
 }
 
+// routeFaults checks that a route says which calls are its own, by method and path or by host and prefix, and that no
+// other route says the same.
 func routeFaults(branch *Branch, seen map[string]string) []*apiv1.Fault {
-	var faults []*apiv1.Fault
+	match, faults := routeMatch(branch)
+	if len(faults) > 0 {
+		return faults
+	}
 	path := branch.Path.String()
-	method, hasMethod := branch.Get(KeyRouteMethod)
-	pattern, hasPath := branch.Get(KeyRoutePath)
-	if !hasMethod {
-		faults = append(faults, &apiv1.Fault{Path: path, Key: KeyRouteMethod, Message: "a route must set it"})
+	if other, ok := seen[match]; ok {
+		return []*apiv1.Fault{{Path: path, Message: "matches the same calls as " + other}}
 	}
-	if !hasPath || pattern[0] != '/' {
-		faults = append(faults, &apiv1.Fault{Path: path, Key: KeyRoutePath, Message: "a route must set it, starting with /"})
+	seen[match] = path
+	return nil
+}
+
+// routeMatch names the calls of a route.
+func routeMatch(branch *Branch) (string, []*apiv1.Fault) {
+	_, hasHost := branch.Get(KeyRouteHost)
+	_, hasPrefix := branch.Get(KeyRoutePrefix)
+	first, second := KeyRouteMethod, KeyRoutePath
+	if hasHost || hasPrefix {
+		first, second = KeyRouteHost, KeyRoutePrefix
+	}
+	name, hasName := branch.Get(first)
+	pattern, hasPattern := branch.Get(second)
+	var faults []*apiv1.Fault
+	if !hasName {
+		faults = append(faults, &apiv1.Fault{Path: branch.Path.String(), Key: first, Message: "a route must set it"})
 	}
-	match := method + " " + pattern
-	if other, ok := seen[match]; ok && hasMethod && hasPath {
-		faults = append(faults, &apiv1.Fault{Path: path, Key: KeyRoutePath, Message: "matches the same calls as " + other})
+	if !hasPattern || pattern[0] != '/' {
+		faults = append(faults, &apiv1.Fault{Path: branch.Path.String(), Key: second, Message: "a route must set it, starting with /"})
 	}
-	seen[match] = path
-	return faults
+	return first + " " + name + " " + pattern, faults
 }
--- a/internal/tree/schema.go
+++ b/internal/tree/schema.go
@@ -22,6 +22,8 @@
 	KindServiceRef
 	// KindResourceRef names a resource that the tree must hold.
 	KindResourceRef
+	// KindSplit lists services that the tree must hold with their weights, for example "rota=90,rota-next=10".
+	KindSplit
 )
 
 // Spec is the schema of one setting.
@@ -60,6 +62,18 @@
 	KeyRouteMethod       = "route.method"
 	KeyRoutePath         = "route.path"
 	KeyRouteIdempotent   = "route.idempotent"
+	KeyRouteHost         = "route.host"
+	KeyRoutePrefix       = "route.prefix"
+	KeyRouteSplit        = "route.split"
+	KeyRouteAttempts     = "route.attempts"
+	KeyRoutePriority     = "route.priority"
+	KeyRouteObjective    = "route.objective"
+	KeyCallerHeaderBytes = "caller.header-bytes"
+	KeyCallerBodyBytes   = "caller.body-bytes"
+	KeyCallerHeaderTime  = "caller.header-timeout"
+	KeyCallerIdleTime    = "caller.idle-timeout"
+	KeyServiceHealthPath = "service.health-path"
+	KeyServiceConnLimit  = "service.connections"
 	KeyMoveFirstShare    = "move.first-share"
 	KeyMoveErrorMargin   = "move.error-margin"
 	KeyMoveLatencyRatio  = "move.latency-ratio"
@@ -82,7 +96,7 @@
 )
 
 var specs = []Spec{
-	{Key: KeyCallTimeout, Kind: KindDuration, Default: "2s", Min: float64(time.Millisecond), Max: float64(time.Minute), Help: "longest time for a call, queueing and retries included"},
+	{Key: KeyCallTimeout, Kind: KindDuration, Default: "2s", Min: float64(time.Millisecond), Max: float64(10 * time.Minute), Help: "longest time for a call, queueing and retries included"},
 	{Key: KeyRetryLimit, Kind: KindInt, Default: "2", Min: 0, Max: 5, Help: "retries of one call at most"},
 	{Key: KeyRetryBudget, Kind: KindFloat, Default: "0.1", Min: 0, Max: 1, Help: "retries as a share of calls"},
 	{Key: KeySpillThreshold, Kind: KindFloat, Default: "0.8", Min: 0, Max: 1, Help: "utilisation of the own failure domain at which calls go to others"},
@@ -100,6 +114,18 @@
 	{Key: KeyRouteMethod, Kind: KindChoice, Choices: []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}, Levels: []Level{routeOnly}, Help: "HTTP method of the route"},
 	{Key: KeyRoutePath, Kind: KindText, Levels: []Level{routeOnly}, Help: "path of the route; a trailing /* matches the rest"},
 	{Key: KeyRouteIdempotent, Kind: KindBool, Default: "false", Levels: []Level{routeOnly}, Help: "whether a call may run more than once"},
+	{Key: KeyRouteHost, Kind: KindText, Levels: []Level{routeOnly}, Help: "host of the calls, for a route by host and prefix"},
+	{Key: KeyRoutePrefix, Kind: KindText, Levels: []Level{routeOnly}, Help: "beginning of the path; of the routes of a host the longest one takes the call"},
+	{Key: KeyRouteSplit, Kind: KindSplit, Levels: []Level{routeOnly}, Help: "services that share the calls, with weights"},
+	{Key: KeyRouteAttempts, Kind: KindInt, Default: "2", Min: 1, Max: 100, Help: "backend servers that one call may be sent to"},
+	{Key: KeyRoutePriority, Kind: KindInt, Default: "1", Min: 0, Max: 100, Help: "rank of the calls when there is no room for all, 0 first"},
+	{Key: KeyRouteObjective, Kind: KindDuration, Default: "500ms", Min: float64(time.Millisecond), Max: float64(10 * time.Minute), Help: "latency objective of a call"},
+	{Key: KeyCallerHeaderBytes, Kind: KindInt, Default: "65536", Min: 1, Max: 1 << 20, Levels: []Level{LevelGlobal}, Help: "longest header of a call"},
+	{Key: KeyCallerBodyBytes, Kind: KindInt, Default: "67108864", Min: 0, Max: 1 << 40, Levels: []Level{LevelGlobal}, Help: "longest body of a call"},
+	{Key: KeyCallerHeaderTime, Kind: KindDuration, Default: "10s", Min: float64(time.Millisecond), Max: float64(time.Hour), Levels: []Level{LevelGlobal}, Help: "time in which the header of a call must arrive"},
+	{Key: KeyCallerIdleTime, Kind: KindDuration, Default: "1m", Min: float64(time.Millisecond), Max: float64(24 * time.Hour), Levels: []Level{LevelGlobal}, Help: "time after which an idle connection of a caller is closed"},
+	{Key: KeyServiceHealthPath, Kind: KindText, Levels: []Level{serviceOnly}, Help: "path of the health check of the backend servers"},
+	{Key: KeyServiceConnLimit, Kind: KindInt, Min: 0, Max: 1e6, Levels: []Level{serviceOnly}, Help: "connections that a backend server accepts"},
 	{Key: KeyMoveFirstShare, Kind: KindFloat, Default: "0.05", Min: 0.001, Max: 0.25, Help: "share of calls at the first stage of a move"},
 	{Key: KeyMoveErrorMargin, Kind: KindFloat, Default: "0.02", Min: 0.001, Max: 1, Help: "rise of the error rate at which a new version is bad"},
 	{Key: KeyMoveLatencyRatio, Kind: KindFloat, Default: "2", Min: 1.1, Max: 100, Help: "ratio of call durations, new to old, at which a new version is bad"},
@@ -178,6 +204,9 @@
 		return strconv.FormatBool(flag), nil
 	case KindChoice:
 		return s.canonicalChoice(value)
+	case KindSplit:
+		split, err := ParseSplit(value)
+		return split.String(), err
 	case KindServiceRef, KindResourceRef:
 		if !validName(value) {
 			return "", errors.Errorf("%q is not a name", value)
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -1,7 +1,9 @@
 package tree
 
 import (
+	"slices"
 	"sort"
+	"sync/atomic"
 
 	apiv1 "samphireflow/api/v1"
 )
@@ -10,6 +12,8 @@
 // the branches that did not change.
 type Tree struct {
 	branches map[Path]*Branch
+	// sorted caches what Branches returns.
+	sorted atomic.Pointer[[]*Branch]
 }
 
 // New returns a tree with an empty global branch.
@@ -44,13 +48,25 @@
 	return t.branches[path]
 }
 
-// Branches lists all branches sorted by path.
+// Branches lists all branches sorted by path. The list must not be changed. It is called only once the tree is whole.
 func (t *Tree) Branches() []*Branch {
-	list := make([]*Branch, 0, len(t.branches))
-	for _, branch := range t.branches {
-		list = append(list, branch)
+	if sorted := t.sorted.Load(); sorted != nil {
+		return *sorted
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Path.String() < list[j].Path.String() })
+	names := make([]string, 0, len(t.branches))
+	byName := make(map[string]*Branch, len(t.branches))
+	for path, branch := range t.branches {
+		name := path.String()
+		names = append(names, name)
+		byName[name] = branch
+	}
+	sort.Strings(names)
+	list := make([]*Branch, len(names))
+	for i, name := range names {
+		list[i] = byName[name]
+	}
+	list = slices.Clip(list)
+	t.sorted.Store(&list)
 	return list
 }
 
