Prefer the own failure domain, judge moves of seconds, follow a changed settings file

Change: the cost of a backend server is the square of expected time over objective plus a constant for another failure domain; SIGHUP and a changed file are read again; outcomes are counted at the gate and go to every control instance while a move runs; a judge of its own for moves below two minutes.

--- a/cmd/samphireflowd/main.go
+++ b/cmd/samphireflowd/main.go
@@ -56,7 +56,7 @@
 		fmt.Println("the settings are valid")
 		return exitOK
 	}
-	return serve(s, daemon.Surface{Headers: calls.DefaultHeaders()}, os.Stderr)
+	return serve(s, daemon.Surface{Headers: calls.DefaultHeaders()}, os.Stderr, reload{})
 }
 
 // runOnPlatform runs by the platform's settings file.
@@ -68,7 +68,14 @@
 	}
 	output, closeOutput := logs.NewWriter(os.Stdout)
 	defer closeOutput()
-	return serve(&deployment.Settings, surfaceOf(deployment), output)
+	return serve(&deployment.Settings, surfaceOf(deployment), output, reload{path: path, signals: hangups()})
+}
+
+// hangups delivers SIGHUP, which by default would end the process. It is called before anything that takes time.
+func hangups() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
 }
 
 func surfaceOf(deployment *platform.Deployment) daemon.Surface {
@@ -84,7 +91,7 @@
 	}
 }
 
-func serve(s *settings.Settings, surface daemon.Surface, output io.Writer) int {
+func serve(s *settings.Settings, surface daemon.Surface, output io.Writer, settingsFile reload) int {
 	logger := newLogger(s, output)
 	log.SetFlags(0)
 	log.SetOutput(standardLog{logger})
@@ -105,6 +112,7 @@
 		logger.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
+	go settingsFile.run(ctx, s, d, logger)
 	if err := d.Run(ctx); err != nil {
 		logger.Error().Err(err).Msg("run failed")
 		return exitFailed
--- a/internal/control/move_loop.go
+++ b/internal/control/move_loop.go
@@ -11,7 +11,7 @@
 
 const (
 	// judgeInterval is the time between judgements of the running moves.
-	judgeInterval = 500 * time.Millisecond
+	judgeInterval = 250 * time.Millisecond
 	// stepTimeout bounds the proposal of a decision.
 	stepTimeout = 2 * time.Second
 )
@@ -26,8 +26,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			s.judgeMoves(ctx, driver, now)
+		case <-ticker.C:
+			s.judgeMoves(ctx, driver, s.now())
 		}
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -78,7 +78,8 @@
 		client:     client,
 		peerClient: peerClient,
 		started:    started,
-		now:        time.Now,
+		// Steps of the clock after the start do not count.
+		now: func() time.Time { return started.Add(time.Since(started)) },
 	}
 	s.watches = distribution.NewWatchServer(source{s}, members)
 	s.reaper = distribution.NewReaper(members, peerClient, s.helpers)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -222,6 +222,13 @@
 	return mux
 }
 
+// LearnControl adds control instances that changed settings name.
+func (d *Daemon) LearnControl(addrs []string) {
+	if d.node != nil {
+		d.node.LearnControl(addrs)
+	}
+}
+
 // Ready reports whether all roles can serve.
 func (d *Daemon) Ready() bool {
 	if d.leaving.Load() {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -30,8 +30,15 @@
 	// Local returns the announcement of the backend server beside this node, nil when there is none in force.
 	Local   func() *apiv1.BackendServer
 	Headers calls.Headers
-	Logger  zerolog.Logger
-	Now     func() time.Time
+	// Recorder counts what the backend server made of the calls that it got.
+	Recorder Recorder
+	Logger   zerolog.Logger
+	Now      func() time.Time
+}
+
+// Recorder counts outcomes by service, version and route; *outcome.Sum is one.
+type Recorder interface {
+	Record(service, version, route string, ok, broken bool, duration time.Duration)
 }
 
 // Gate passes calls to the backend server beside this node. It is safe for use by many goroutines.
@@ -52,6 +59,8 @@
 	instance    string
 	incarnation uint64
 	addr        string
+	service     string
+	version     string
 }
 
 // New returns a gate.
@@ -99,6 +108,7 @@
 	began := g.options.Now()
 	result := g.send(ctx, c, server)
 	result.Took = g.options.Now().Sub(began)
+	g.record(c, server, result)
 	took := result.Took
 	if result.Fate != calls.Answered {
 		took = 0
@@ -107,6 +117,18 @@
 	return result
 }
 
+// record counts the outcome for the judgement of versions. What a caller's leaving or a refusal cut short tells nothing.
+func (g *Gate) record(c *calls.Call, server start, result *calls.Result) {
+	switch result.Fate {
+	case calls.Answered:
+		g.options.Recorder.Record(server.service, server.version, c.Route, result.Response.Status < statusServerError, false, result.Took)
+	case calls.Expired:
+		g.options.Recorder.Record(server.service, server.version, c.Route, false, false, result.Took)
+	case calls.Unknown:
+		g.options.Recorder.Record(server.service, server.version, c.Route, false, true, result.Took)
+	}
+}
+
 func refusal(reason calls.Reason, detail string) *calls.Result {
 	return &calls.Result{Fate: calls.NotRun, Reason: reason, Detail: detail}
 }
@@ -124,7 +146,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := start{info.Instance, info.Incarnation, info.Addr}
+	now := start{info.Instance, info.Incarnation, info.Addr, info.Service, info.Version}
 	if now != g.current {
 		if g.current.addr != "" {
 			g.client.Drop(g.current.addr)
@@ -259,6 +281,9 @@
 // statusMisdirected is sent by a backend server that is not the one which the request names (RFC 9110, 15.5.20).
 const statusMisdirected = 421
 
+// statusServerError is the least status that blames the backend server.
+const statusServerError = 500
+
 func discarded(response *exchange.Response, detail string) *calls.Result {
 	if response.Rest != nil {
 		// Closing breaks the exchange off; there is nothing to do about a failure.
--- a/internal/ingress/draw.go
+++ b/internal/ingress/draw.go
@@ -37,27 +37,30 @@
 
 // drawVersion chooses the backend servers of a call by the shares of the service's versions. Without shares, before the
 // version of the service is known, all that are ready may take it. A version that has a share and no ready backend
-// server leaves its calls to the other.
-func drawVersion(service *routing.Service, random func() float64) (version string, servers []*routing.Server) {
+// server leaves its calls to the other. The share of a new version is at most what this node's own breaker allows.
+func (i *Ingress) drawVersion(service *routing.Service) []*routing.Server {
 	if len(service.Versions) == 0 {
-		return "", service.Ready
+		return service.Ready
 	}
+	shares := make([]uint32, len(service.Versions))
 	total := uint32(0)
-	for i := range service.Versions {
-		if service.Versions[i].Size() > 0 {
-			total += service.Versions[i].ShareBp
-		}
-	}
-	at := random() * float64(total)
-	for i := range service.Versions {
-		v := &service.Versions[i]
-		if v.Size() == 0 || v.ShareBp == 0 {
+	for n := range service.Versions {
+		v := &service.Versions[n]
+		if v.Size() == 0 {
 			continue
 		}
-		if at < float64(v.ShareBp) {
-			return v.Name, v.All()
+		shares[n] = v.ShareBp
+		if n == 0 && len(service.Versions) > 1 && service.Versions[1].Size() > 0 && service.Versions[1].ShareBp > 0 {
+			shares[n] = i.guard.Limit(i.options.Now(), service.Config, v.ShareBp)
+		}
+		total += shares[n]
+	}
+	at := i.options.Random() * float64(total)
+	for n := range shares {
+		if shares[n] > 0 && at < float64(shares[n]) {
+			return service.Versions[n].All()
 		}
-		at -= float64(v.ShareBp)
+		at -= float64(shares[n])
 	}
-	return "", nil
+	return nil
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphireflow/internal/calls"
+	"samphireflow/internal/move/local"
 	"samphireflow/internal/routing"
 )
 
@@ -18,11 +19,12 @@
 	options Options
 	peers   *peers
 	budget  *budget
+	guard   *local.Guard
 }
 
 // New returns an ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, peers: newPeers(options.Headers, options.Now), budget: newBudget()}
+	return &Ingress{options: options, peers: newPeers(options.Headers, options.Now), budget: newBudget(), guard: local.NewGuard()}
 }
 
 // ServeHTTP carries one call.
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/routing"
 	"samphireflow/internal/suspect"
@@ -17,11 +16,6 @@
 	Pass(ctx context.Context, c *calls.Call, instance string, patience time.Time) *calls.Result
 }
 
-// Recorder counts outcomes by service, version and route; *outcome.Sum is one.
-type Recorder interface {
-	Record(service, version, route string, ok, broken bool, duration time.Duration)
-}
-
 // Suspects knows the requests that crash backend servers; *suspect.Watch is one.
 type Suspects interface {
 	Active() bool
@@ -41,13 +35,10 @@
 	Table    func() *routing.Table
 	Gate     Gate
 	Headers  calls.Headers
-	Recorder Recorder
 	Suspects Suspects
 	Metrics  *Metrics
 	Logger   zerolog.Logger
 	Now      func() time.Time
 	// Random returns an evenly distributed number from 0 to 1.
 	Random func() float64
-	// Announced returns the backend server beside this node, nil when there is none.
-	Announced func() *apiv1.BackendServer
 }
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/exchange"
 	"samphireflow/internal/placement"
@@ -34,7 +35,7 @@
 	call    *calls.Call
 	arrived time.Time
 	service string
-	version string
+	config  *apiv1.ServiceConfig
 
 	tried map[string]bool
 	// sends counts the backend servers that the call was sent to and may have run on, refusals the gates that refused.
@@ -55,8 +56,8 @@
 	if t.condemned() {
 		return nil, notRun("this request has crashed backend servers", 0)
 	}
-	version, servers := drawVersion(service, t.ingress.options.Random)
-	t.version = version
+	t.config = service.Config
+	servers := t.ingress.drawVersion(service)
 	t.tried = map[string]bool{}
 	t.ingress.budget.first(t.service, t.arrived)
 	ctx, cancel := context.WithDeadline(ctx, t.call.Deadline)
@@ -97,11 +98,11 @@
 	if t.late && t.refusals >= refusalsLate {
 		return nil
 	}
-	index := placement.Choose(t.candidates(servers), t.ingress.options.Random, t.ingress.options.Now())
+	index := placement.Choose(t.candidates(servers), t.route.Settings.Objective, t.ingress.options.Random, t.ingress.options.Now())
 	if index < 0 && !t.late && t.refusals > 0 {
 		t.beginLate()
 		if t.refusals < refusalsLate {
-			index = placement.Choose(t.candidates(servers), t.ingress.options.Random, t.ingress.options.Now())
+			index = placement.Choose(t.candidates(servers), t.route.Settings.Objective, t.ingress.options.Random, t.ingress.options.Now())
 		}
 	}
 	if index < 0 {
@@ -157,7 +158,7 @@
 	}
 	server.View.End(result, t.ingress.options.Now())
 	t.last = result
-	t.record(server, result)
+	t.guard(server, result)
 	if result.Fate != calls.NotRun || result.Reason == calls.ReasonShed {
 		t.sends++
 	}
@@ -173,14 +174,13 @@
 	return result
 }
 
-// record counts the attempt for the judgement of versions, which looks at the backend servers' own doing alone.
-func (t *trip) record(server *routing.Server, result *calls.Result) {
+// guard lets the node's own breaker see the outcome of a call to a version that is being moved to or from.
+func (t *trip) guard(server *routing.Server, result *calls.Result) {
 	switch result.Fate {
 	case calls.Answered:
-		ok := result.Response.Status < http.StatusInternalServerError
-		t.ingress.options.Recorder.Record(t.service, server.Info.Version, t.call.Route, ok, false, result.Took)
-	case calls.Unknown:
-		t.ingress.options.Recorder.Record(t.service, server.Info.Version, t.call.Route, false, true, result.Took)
+		t.ingress.guard.Record(t.ingress.options.Now(), t.config, server.Info.Version, result.Response.Status >= http.StatusInternalServerError)
+	case calls.Unknown, calls.Expired:
+		t.ingress.guard.Record(t.ingress.options.Now(), t.config, server.Info.Version, true)
 	}
 }
 
--- a/internal/move/driver.go
+++ b/internal/move/driver.go
@@ -19,7 +19,9 @@
 
 // running is one active move with its judge.
 type running struct {
-	judge    *Judge
+	judge *Judge
+	// brisk judges the move in place of judge when it is short.
+	brisk    *briskJudge
 	proposed proposal
 	hold     string
 	// domains holds every failure domain that was seen alive since the judge started.
@@ -66,6 +68,15 @@
 	if r == nil || move.Service != outcome.Service {
 		return
 	}
+	if r.brisk != nil {
+		switch outcome.Version {
+		case move.ToVersion:
+			r.brisk.Observe(now, NewVersion, outcome.Route, countsOf(outcome))
+		case move.FromVersion:
+			r.brisk.Observe(now, OldVersion, outcome.Route, countsOf(outcome))
+		}
+		return
+	}
 	switch outcome.Version {
 	case move.ToVersion:
 		r.judge.Observe(now, NewVersion, outcome.Route, outcome.FailureDomain, countsOf(outcome))
@@ -90,12 +101,15 @@
 	r := d.running[move.Id]
 	if r == nil {
 		r = &running{judge: NewJudge(move, fleet.Routes), domains: map[string]bool{}}
+		if isBrisk(move) {
+			r.brisk = newBriskJudge(now, move)
+		}
 		d.running[move.Id] = r
 	}
 	if r.proposed.revision == move.Revision && now.Sub(r.proposed.at) < stepPatience {
 		return nil
 	}
-	decision := r.judge.Decide(now, move, r.situation(move, fleet))
+	decision := r.decide(now, move, r.situation(move, fleet))
 	r.hold = decision.Hold
 	if decision.Step != nil {
 		r.proposed = proposal{revision: move.Revision, at: now}
@@ -103,6 +117,13 @@
 	return decision.Step
 }
 
+func (r *running) decide(now time.Time, move *apiv1.Move, situation *Situation) Decision {
+	if r.brisk != nil {
+		return r.brisk.Decide(now, move, situation)
+	}
+	return r.judge.Decide(now, move, situation)
+}
+
 // Hold says why a move does not go on at present; empty when it does.
 func (d *Driver) Hold(moveID string) string {
 	if r := d.running[moveID]; r != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,8 @@
 	outcomes *outcome.Sum
 	// outcomesUp belongs to the goroutine that reports.
 	outcomesUp *distribution.Reporter
+	// reportSeq belongs to the same goroutine, where reports go directly to the control instances.
+	reportSeq uint64
 
 	// table is what the proxy routes by; it is replaced whole.
 	table atomic.Pointer[routing.Table]
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -47,6 +47,8 @@
 	renewFailures = 2
 	// reportInterval is the time between reports of outcomes.
 	reportInterval = time.Second
+	// directReportInterval is the same where nodes report to the control instances themselves, for moves of seconds.
+	directReportInterval = 300 * time.Millisecond
 	// requestTimeout bounds every other request.
 	requestTimeout = 2 * time.Second
 	// retryPause is the first mean pause after a failed watch, and maxRetryPause the longest.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -142,9 +142,7 @@
 // word of a sender that is behind is.
 func (n *Node) takeResponse(ctx context.Context, from *distribution.Client, response *apiv1.WatchResponse) error {
 	n.learnRelays(response.Relays)
-	if n.options.Direct && n.selector.learnControl(response.ControlAddrs) {
-		n.options.Logger.Info().Strs("control", response.ControlAddrs).Msg("control instances learned")
-	}
+	n.LearnControl(response.ControlAddrs)
 	changed, refused := n.applier.take(response)
 	if refused != nil {
 		n.options.Logger.Warn().Err(refused).Str("upstream", from.Addr).Msg("configuration refused")
@@ -239,3 +237,10 @@
 func (n *Node) watchSlack() time.Duration {
 	return min(requestTimeout, n.options.Timing.WatchWait)
 }
+
+// LearnControl adds control instances, where the node follows them directly.
+func (n *Node) LearnControl(addrs []string) {
+	if n.options.Direct && n.selector.learnControl(addrs) {
+		n.options.Logger.Info().Strs("control", addrs).Msg("control instances learned")
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -7,17 +7,16 @@
 const (
 	// coldFactor is the factor by which a backend server is taken to be slower right after its start.
 	coldFactor = 2
-	// crowding is the rise of the cost of a backend server whose slots are all taken but one over an idle one: the more
-	// slots are taken, the likelier another node's call takes the last one first.
+	// crowding is the rise of the expected time at a backend server whose slots are all taken but one over an idle one:
+	// the more slots are taken, the likelier another node's call takes the last one first.
 	crowding = 0.3
-	// errorCost is the rise of the cost of a backend server all of whose calls fail. At 5% failures it costs half as much
-	// again.
-	errorCost = 10
-	// remoteCost is the time that another failure domain costs beyond the time of the call: the way there and back, and
-	// the bytes between failure domains.
-	remoteCost = 4 * time.Millisecond
+	// remoteCost is what another failure domain costs in parts of a call's worth: the bytes between failure domains, and
+	// the way there and back.
+	remoteCost = 0.15
+	// errorCost is what a failed call costs in parts of its worth; above 1, as it may be repeated elsewhere at a cost.
+	errorCost = 2
 	// spread is the width of the random part of the cost, which keeps nodes that know the same from choosing the same.
-	spread = 0.1
+	spread = 0.05
 	// unknownTime stands for the time of a call where no backend server of the service has answered one yet.
 	unknownTime = 50 * time.Millisecond
 )
@@ -35,9 +34,10 @@
 // Random returns an evenly distributed number from 0 to 1.
 //
 // Load pattern: backend servers of one service differ in speed by a factor of three and have few slots; a node sees
-// them only through its own calls. The cost is the expected time at the backend server, which grows with the calls
-// beyond its slots; one that avoids being called is taken only when there is no other.
-func Choose(candidates []Candidate, random func() float64, now time.Time) int {
+// them only through its own calls. A call goes to the own failure domain as long as it is likely to be answered by its
+// objective there: the cost grows with the square of the expected time over the objective. A backend server that is to be
+// avoided is taken only when there is no other.
+func Choose(candidates []Candidate, objective time.Duration, random func() float64, now time.Time) int {
 	sights := make([]sight, len(candidates))
 	for i, candidate := range candidates {
 		sights[i] = candidate.View.at(now)
@@ -49,11 +49,11 @@
 			if candidate.Tried || sights[i].avoid != avoided {
 				continue
 			}
-			cost := sights[i].cost(typical)
+			part := sights[i].expected(typical) / float64(max(objective, time.Millisecond))
+			cost := part*part + errorCost*sights[i].errors + spread*random()
 			if !candidate.Local {
-				cost += float64(remoteCost)
+				cost += remoteCost
 			}
-			cost *= 1 + spread*random()
 			if best < 0 || cost < bestCost {
 				best, bestCost = i, cost
 			}
@@ -80,8 +80,8 @@
 	return sum / float64(count)
 }
 
-// cost is the expected time of a call in nanoseconds.
-func (s sight) cost(typical float64) float64 {
+// expected is the expected time of a call in nanoseconds.
+func (s sight) expected(typical float64) float64 {
 	own := typical
 	if s.mean > 0 {
 		weight := decay(s.meanAge, timeMemory)
@@ -89,5 +89,5 @@
 	}
 	use := s.occupied / s.slots
 	waiting := max(s.occupied+1-s.slots, 0) / s.slots
-	return own * (1 + waiting + crowding*min(use, 1)) * (1 + errorCost*s.errors)
+	return own * (1 + waiting + crowding*min(use, 1))
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -103,6 +103,9 @@
 	case calls.ReasonUnreachable:
 		v.avoidUntil = now.Add(min(unreachableTime<<min(v.failures, 8), maxUnreachable))
 		v.failures++
+	case calls.ReasonShed:
+		v.errors += errorWeight * (1 - v.errors)
+		v.errAt = now
 	}
 }
 
