Leave a control instance whose word grows old at once

A watch came back after its full wait only, and the others were asked one after the other. Ruled out: a lost delta; the log of sidecar-centro-b-1 shows no refused version. Change: a watch says from which age of the sender's word on it wants an answer; the others are asked at the same time.

--- a/internal/distribution/watch_server.go
+++ b/internal/distribution/watch_server.go
@@ -65,6 +65,10 @@
 	membersDue := time.NewTimer(time.Duration(request.MembersAfterMs) * time.Millisecond)
 	defer membersDue.Stop()
 	wantMembers := request.MembersAfterMs == 0
+	stale := s.staleTimer(request)
+	if stale != nil {
+		defer stale.Stop()
+	}
 	for {
 		changed, flushed := s.source.Changed(), s.hub.Flushed()
 		response := s.answer(request, wantMembers)
@@ -83,12 +87,40 @@
 			return response, nil
 		case <-membersDue.C:
 			wantMembers = true
+		case <-fired(stale):
+			if left := staleAfter(request) - s.source.Age(); left > 0 {
+				stale.Reset(left)
+				continue
+			}
+			return s.answer(request, wantMembers), nil
 		case <-changed:
 		case <-flushed:
 		}
 	}
 }
 
+// staleTimer fires when the word of this process becomes too old for the watcher, unless it is so already: then the watcher
+// has looked for another sender in vain. It is nil when the watcher does not ask for it.
+func (s *WatchServer) staleTimer(request *apiv1.WatchRequest) *time.Timer {
+	left := staleAfter(request) - s.source.Age()
+	if request.StaleAfterMs == 0 || left <= 0 {
+		return nil
+	}
+	return time.NewTimer(left)
+}
+
+func staleAfter(request *apiv1.WatchRequest) time.Duration {
+	return time.Duration(request.StaleAfterMs) * time.Millisecond
+}
+
+// fired is the channel of a timer that may be nil.
+func fired(timer *time.Timer) <-chan time.Time {
+	if timer == nil {
+		return nil
+	}
+	return timer.C
+}
+
 func empty(response *apiv1.WatchResponse) bool {
 	return response.Snapshot == nil && response.Delta == nil && response.Members == nil
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -121,6 +122,7 @@
 		Services:       n.options.Services,
 		WaitMs:         uint32(n.options.Timing.WatchWait.Milliseconds()),
 		RelaysEpoch:    n.selector.epoch(),
+		StaleAfterMs:   n.staleAfterMs(),
 		MembersAfterMs: uint32(max(0, time.Until(n.membersAt).Milliseconds())),
 	}
 	request.MembersSource, request.MembersSeq = n.directory.Position()
@@ -160,7 +162,7 @@
 	if errors.Is(refused, ErrOlder) {
 		return refused
 	}
-	if time.Duration(response.AgeMs)*time.Millisecond > n.options.Timing.StaleAge {
+	if time.Duration(response.AgeMs)*time.Millisecond >= n.options.Timing.StaleAge {
 		n.lookForFresher(ctx, from, response.AgeMs)
 	}
 	return nil
@@ -216,25 +218,37 @@
 	}
 }
 
-// lookForFresher asks the other relays how old their word is and turns to one that has heard more.
+// fresherTimeout bounds the questions after a fresher sender: one that is cut off does not answer.
+const fresherTimeout = 500 * time.Millisecond
+
+// lookForFresher asks the other senders at the same time how old their word is and turns to the first whose word is much
+// younger. While no leader is elected all words are old, and the node stays.
 func (n *Node) lookForFresher(ctx context.Context, from *distribution.Client, ageMs uint64) {
-	for _, other := range n.selector.others() {
+	asked, cancel := context.WithTimeout(ctx, fresherTimeout)
+	defer cancel()
+	others := n.selector.others()
+	fresher := make(chan *distribution.Client, len(others))
+	var running sync.WaitGroup
+	for _, other := range others {
 		if other == from {
 			continue
 		}
-		asked, cancel := context.WithTimeout(ctx, renewTimeout)
-		response, err := other.Distribution.Floor(asked, &apiv1.FloorRequest{FailureDomain: n.options.FailureDomain})
-		cancel()
-		if err == nil && response.AgeMs+uint64(n.options.Timing.StaleAge.Milliseconds()) <= ageMs {
-			n.selector.use(other)
-			return
-		}
+		running.Go(func() {
+			response, err := other.Distribution.Floor(asked, &apiv1.FloorRequest{FailureDomain: n.options.FailureDomain})
+			if err == nil && response.AgeMs+uint64(n.options.Timing.StaleAge.Milliseconds())/2 <= ageMs {
+				fresher <- other
+				cancel()
+			}
+		})
+	}
+	running.Wait()
+	select {
+	case other := <-fresher:
+		n.options.Logger.Info().Str("upstream", other.Addr).Str("upstream_before", from.Addr).Uint64("age_ms", ageMs).
+			Msg("turned to a sender whose word is younger")
+		n.selector.use(other)
+	default:
 	}
-}
-
-// watchSlack is the time beyond its wait in which the answer to a watch must come.
-func (n *Node) watchSlack() time.Duration {
-	return min(requestTimeout, n.options.Timing.WatchWait)
 }
 
 // LearnControl adds control instances, where the node follows them directly.
@@ -243,3 +257,11 @@
 		n.options.Logger.Info().Strs("control", addrs).Msg("control instances learned")
 	}
 }
+
+// staleAfterMs asks control instances to answer when their word grows old. Relays pass on words of any age.
+func (n *Node) staleAfterMs() uint32 {
+	if !n.options.Direct {
+		return 0
+	}
+	return uint32(n.options.Timing.StaleAge.Milliseconds())
+}
