--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -265,3 +265,8 @@
 	}
 	return uint32(n.options.Timing.StaleAge.Milliseconds())
 }
+
+// watchSlack is the time beyond its wait in which the answer to a watch must come.
+func (n *Node) watchSlack() time.Duration {
+	return min(requestTimeout, n.options.Timing.WatchWait)
+}
