--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,6 +104,7 @@
 		TickInterval:   controlTick,
 		ElectionTicks:  controlElectionTicks,
 		HeartbeatTicks: controlHeartbeatTicks,
+		SnapshotEvery:  d.snapshotEvery(),
 		Seeds:          d.settings.ControlSeeds,
 		Open:           d.settings.IsDirect(),
 		OwnAddr:        d.settings.ControlAddr,
@@ -139,6 +140,18 @@
 	return d.settings.Instance
 }
 
+// publishedSnapshotEvery is the number of log entries between two snapshots where whole documents are published. A start
+// repeats the entries since the last snapshot: at 5 ms of processor time for a document of 500 routes (BenchmarkPublish)
+// and a quarter of a core, 8 of them take 0.16 s.
+const publishedSnapshotEvery = 8
+
+func (d *Daemon) snapshotEvery() uint64 {
+	if d.settings.IsDirect() {
+		return publishedSnapshotEvery
+	}
+	return replica.DefaultSnapshotEvery
+}
+
 // founders lists the instances that form a new control group together, none when a group exists already.
 func (d *Daemon) founders() []replica.Member {
 	if !d.settings.IsDirect() {
--- a/internal/node/floor.go
+++ b/internal/node/floor.go
@@ -37,7 +37,11 @@
 
 // askFloor asks all that may know; it returns when all have answered or failed, or enough is known.
 func (n *Node) askFloor(ctx context.Context, round *floorRound) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	timeout := requestTimeout
+	if patience := n.options.Timing.FloorPatience; patience > 0 {
+		timeout = min(timeout, patience)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var running sync.WaitGroup
 	for _, client := range n.floorClients() {
--- /dev/null
+++ b/internal/state/publish_bench_test.go
@@ -0,0 +1,51 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tree"
+)
+
+// benchDocument is a document of many routes of one service, the last of which depends on the number.
+func benchDocument(tb testing.TB, number, base uint64, routes int) []byte {
+	body := &apiv1.DocumentBody{Branches: []*apiv1.Branch{{Path: "/"}, {Path: "/services/rota"}}}
+	for i := range routes {
+		prefix := fmt.Sprintf("/p%d/", i)
+		if i == routes-1 {
+			prefix = fmt.Sprintf("/p%d-%d/", i, number)
+		}
+		body.Branches = append(body.Branches, &apiv1.Branch{Path: fmt.Sprintf("/services/rota/routes/r%d", i), Settings: []*apiv1.Setting{
+			{Key: tree.KeyRouteHost, Value: "rota.example"}, {Key: tree.KeyRoutePrefix, Value: prefix},
+			{Key: tree.KeyRouteIdempotent, Value: "true"}, {Key: tree.KeyCallTimeout, Value: "1s"},
+			{Key: tree.KeyRouteObjective, Value: "300ms"}, {Key: tree.KeyRoutePriority, Value: "0"}, {Key: tree.KeyRouteAttempts, Value: "2"},
+		}})
+		body.Content = append(body.Content, prefix...)
+	}
+	packedBody, err := PackBody(body)
+	require.NoError(tb, err)
+	command := &apiv1.Command{Kind: &apiv1.Command_Publish{Publish: &apiv1.PublishRequest{Number: number, BaseNumber: base, PackedBody: packedBody}}}
+	data, err := proto.Marshal(command)
+	require.NoError(tb, err)
+	return data
+}
+
+// BenchmarkPublish measures a change of one route in 500, which a restarted control instance repeats for each document
+// in its log.
+func BenchmarkPublish(b *testing.B) {
+	m := NewMachine()
+	var documents [][]byte
+	for i := range b.N + 1 {
+		documents = append(documents, benchDocument(b, uint64(i+1), uint64(i), 500))
+	}
+	m.Apply(1, 1, documents[0])
+	b.ResetTimer()
+	for i := range b.N {
+		m.Apply(uint64(i+2), 1, documents[i+1])
+	}
+	require.EqualValues(b, b.N+1, m.View().Document().Number)
+}
--- a/internal/tree/edit.go
+++ b/internal/tree/edit.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"slices"
 	"sort"
 
 	apiv1 "samphireflow/api/v1"
@@ -169,10 +170,14 @@
 	if parent, ok := branch.Path.parent(); ok && t.branches[parent] == nil {
 		faults = append(faults, &apiv1.Fault{Path: path, Message: "there is no branch " + parent.String()})
 	}
-	for _, setting := range branch.Settings() {
-		for _, target := range referenceTargets(specByKey[setting.Key], setting.Value) {
+	for _, key := range referenceKeys {
+		value, ok := branch.Get(key)
+		if !ok {
+			continue
+		}
+		for _, target := range referenceTargets(specByKey[key], value) {
 			if t.branches[target] == nil {
-				faults = append(faults, &apiv1.Fault{Path: path, Key: setting.Key, Message: "refers to " + target.String() + ", which does not exist"})
+				faults = append(faults, &apiv1.Fault{Path: path, Key: key, Message: "refers to " + target.String() + ", which does not exist"})
 			}
 		}
 	}
@@ -184,6 +189,20 @@
 	return faults
 }
 
+// referenceKeys lists the keys whose values refer to branches, in the order of their names.
+var referenceKeys = keysOfKinds(KindServiceRef, KindResourceRef, KindSplit)
+
+func keysOfKinds(kinds ...Kind) []string {
+	var keys []string
+	for i := range specs {
+		if slices.Contains(kinds, specs[i].Kind) {
+			keys = append(keys, specs[i].Key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 // referenceTargets lists the branches that a value refers to.
 func referenceTargets(spec *Spec, value string) []Path {
 	switch spec.Kind {
--- a/internal/tree/replace.go
+++ b/internal/tree/replace.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"slices"
 	"sort"
 
 	apiv1 "samphireflow/api/v1"
@@ -38,19 +39,13 @@
 	if current != nil {
 		edit.BaseVersion = current.Version
 	}
-	keep := map[string]bool{KeyServiceVersion: true}
 	for _, setting := range wanted.Settings {
-		keep[setting.Key] = true
 		if value, ok := current.Get(setting.Key); !ok || !sameValue(setting.Key, value, setting.Value) {
 			edit.Changes = append(edit.Changes, &apiv1.Change{Key: setting.Key, Value: setting.Value})
 		}
 	}
 	if current != nil && path.Level != LevelGlobal {
-		for _, setting := range current.Settings() {
-			if !keep[setting.Key] {
-				edit.Changes = append(edit.Changes, &apiv1.Change{Key: setting.Key, Unset: true})
-			}
-		}
+		edit.Changes = append(edit.Changes, current.unsetOthers(wanted.Settings)...)
 	}
 	if current != nil && len(edit.Changes) == 0 {
 		return nil
@@ -58,8 +53,24 @@
 	return edit
 }
 
+// unsetOthers lists the changes that unset the keys which are not wanted, sorted by key. The version of a service stays.
+func (b *Branch) unsetOthers(wanted []*apiv1.Setting) []*apiv1.Change {
+	var changes []*apiv1.Change
+	for key := range b.values {
+		kept := key == KeyServiceVersion || slices.ContainsFunc(wanted, func(s *apiv1.Setting) bool { return s.Key == key })
+		if !kept {
+			changes = append(changes, &apiv1.Change{Key: key, Unset: true})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Key < changes[j].Key })
+	return changes
+}
+
 // sameValue compares a canonical value with one that may be written otherwise.
 func sameValue(key, canonical, value string) bool {
+	if canonical == value {
+		return true
+	}
 	spec, ok := SpecOf(key)
 	if !ok {
 		return false
