Offer calls to a node that is about to stop when no other is ready; try unreachable nodes one call at a time

Change: a stopping node's gate takes calls while its backend server is ready; leaving backend servers are the last resort; after the time in which an unreachable node is passed over, one call tries it; dialling gives up after 150 ms. Conclusion: calls in flight to a zone that is cut off, and stops of busy nodes, remain.

--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -53,7 +53,7 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
 	g := &gated{
-		gate: gate.New(gate.Options{Local: n.Announced, Headers: headers, Recorder: n.Recorder(), Logger: logger, Now: time.Now}),
+		gate: gate.New(gate.Options{Local: n.Beside, Headers: headers, Recorder: n.Recorder(), Logger: logger, Now: time.Now}),
 		watch: suspect.NewWatch(suspect.Options{
 			Peers:  func() []string { return peerAddrs(n, s.ControlAddr) },
 			Client: client,
--- a/internal/ingress/draw.go
+++ b/internal/ingress/draw.go
@@ -62,5 +62,18 @@
 		}
 		at -= float64(shares[n])
 	}
-	return nil
+	return leavingOf(service)
+}
+
+// leavingOf lists the leaving backend servers of the versions that have a share.
+func leavingOf(service *routing.Service) []*routing.Server {
+	var list []*routing.Server
+	for _, server := range service.Leaving {
+		for n := range service.Versions {
+			if v := &service.Versions[n]; v.ShareBp > 0 && v.Name == server.Info.Version {
+				list = append(list, server)
+			}
+		}
+	}
+	return list
 }
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -10,9 +10,10 @@
 	"samphireflow/internal/exchange"
 )
 
-// peerDialTimeout bounds the opening of a connection to another node: several round trips of the longest way between
-// failure domains, and short enough that another backend server can still be tried.
-const peerDialTimeout = 200 * time.Millisecond
+// peerDialTimeout bounds the opening of a connection to another node. It is some ten round trips between the failure
+// domains of a region, and short enough that another backend server can still answer in time; between regions with a
+// round trip of 110 ms it still suffices.
+const peerDialTimeout = 150 * time.Millisecond
 
 // peers hands calls to the gates of other nodes.
 type peers struct {
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -153,7 +153,7 @@
 // send hands the call to the gate beside a backend server.
 func (t *trip) send(ctx context.Context, server *routing.Server) *calls.Result {
 	info := server.Info
-	server.View.Begin()
+	server.View.Begin(t.ingress.options.Now())
 	var result *calls.Result
 	if info.Node == t.ingress.options.Instance {
 		result = t.ingress.options.Gate.Pass(ctx, t.call, info.Instance, t.patience())
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -70,6 +70,19 @@
 	return n.told(time.Now())
 }
 
+// Beside returns the backend server beside this node by its own word: while only this node is about to stop, the backend
+// server still takes the calls of those who have not heard or know no other. It is nil when none is announced, and must
+// not be changed.
+func (n *Node) Beside() *apiv1.BackendServer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	told := n.told(time.Now())
+	if told == nil || n.drained {
+		return told
+	}
+	return n.announced.server
+}
+
 // told returns the announcement in force; guarded by mu.
 func (n *Node) told(now time.Time) *apiv1.BackendServer {
 	if n.announced == nil || now.After(n.announced.expires) {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -19,9 +19,11 @@
 	// errorWeight is the weight of the newest call in the running rate of failures.
 	errorWeight = 0.08
 	// unreachableTime is the time for which a backend server is passed over after its node could not be reached; it
-	// doubles with each further failure up to maxUnreachable.
-	unreachableTime = 300 * time.Millisecond
+	// doubles with each further failure up to maxUnreachable. Then one call tries it, and the others pass it over for
+	// trialTime.
+	unreachableTime = 400 * time.Millisecond
 	maxUnreachable  = 2 * time.Second
+	trialTime       = 200 * time.Millisecond
 	// leavingTime is the time for which a backend server that said it leaves is passed over; by then membership tells.
 	leavingTime = 3 * time.Second
 )
@@ -53,10 +55,13 @@
 }
 
 // Begin counts a call that is sent there; End must follow.
-func (v *View) Begin() {
+func (v *View) Begin(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.own++
+	if v.failures > 0 && !now.Before(v.avoidUntil) {
+		v.avoidUntil = now.Add(trialTime)
+	}
 }
 
 // End takes in what came of a call.
@@ -67,7 +72,10 @@
 	if result.Load != nil {
 		v.others = max(result.Load.Running+result.Load.Waiting-v.own, 0)
 		v.othersAt = now
-		v.failures = 0
+		if v.failures > 0 {
+			v.failures = 0
+			v.avoidUntil = now
+		}
 	}
 	switch result.Fate {
 	case calls.Answered:
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,6 +14,9 @@
 	Versions []Version
 	// Ready holds the ready backend servers of all versions.
 	Ready []*Server
+	// Leaving holds those that are announced as leaving. A call may be offered to one when none is ready: the node beside
+	// it refuses if the backend server itself leaves, and takes the call if only the node does.
+	Leaving []*Server
 }
 
 // Version is one backend server version of a service.
@@ -52,9 +55,11 @@
 // backend servers over rebuilds.
 func Build(snap *apiv1.Snapshot, servers []*apiv1.BackendServer, registry *Registry) *Table {
 	t := &Table{Snapshot: snap, services: make(map[string]*Service, len(snap.Services))}
-	ready := groupReady(servers, registry)
+	ready, leaving := groupByService(servers, registry)
 	for _, config := range snap.Services {
-		t.services[config.Name] = buildService(config, ready[config.Name], snap.FailureDomain)
+		service := buildService(config, ready[config.Name], snap.FailureDomain)
+		service.Leaving = leaving[config.Name]
+		t.services[config.Name] = service
 	}
 	t.routes = buildRoutes(snap)
 	t.matcher = newMatcher(t.routes)
@@ -107,14 +112,18 @@
 	return routes
 }
 
-func groupReady(servers []*apiv1.BackendServer, registry *Registry) map[string][]*Server {
-	ready := map[string][]*Server{}
+// groupByService lists the backend servers of each service that are ready, and those that are leaving.
+func groupByService(servers []*apiv1.BackendServer, registry *Registry) (ready, leaving map[string][]*Server) {
+	ready, leaving = map[string][]*Server{}, map[string][]*Server{}
 	for _, server := range registry.Update(servers) {
-		if server.Info.State == apiv1.ServerState_SERVER_STATE_READY {
+		switch server.Info.State {
+		case apiv1.ServerState_SERVER_STATE_READY:
 			ready[server.Info.Service] = append(ready[server.Info.Service], server)
+		case apiv1.ServerState_SERVER_STATE_DRAINING:
+			leaving[server.Info.Service] = append(leaving[server.Info.Service], server)
 		}
 	}
-	return ready
+	return ready, leaving
 }
 
 func buildService(config *apiv1.ServiceConfig, servers []*Server, failureDomain string) *Service {
