--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -134,7 +134,7 @@
 	}
 	if parallel {
 		go work()
-		return !a.closes
+		return !r.Close
 	}
 	work()
 	return !a.closes && !s.broken.Load()
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -46,6 +46,8 @@
 
 // Offer decides on a call that comes.
 func (q *Queue) Offer(t *Ticket, now time.Time) Verdict {
+	q.arrived++
+	t.arrived = q.arrived
 	if q.running < q.slots {
 		q.running++
 		return Verdict{Action: Run}
@@ -58,8 +60,6 @@
 	if finish.After(t.Patience) || len(q.waiting) >= maxWaiting {
 		return Verdict{Action: Refuse, RetryAfter: max(finish.Sub(t.Patience), leastRetry)}
 	}
-	q.arrived++
-	t.arrived = q.arrived
 	t.turn = make(chan Verdict, 1)
 	q.waiting = append(q.waiting, t)
 	q.turnAway(now)
--- a/internal/move/brisk.go
+++ b/internal/move/brisk.go
@@ -16,7 +16,7 @@
 	// moves: within seconds nothing smaller can be told from chance.
 	briskRise = 0.15
 	// briskCertainty is the number of standard deviations by which the rise must stand out.
-	briskCertainty = 2.5
+	briskCertainty = 3
 	// briskDoubt is the same for holding the share where it is.
 	briskDoubt = 1.5
 	// briskLeastBad is the count of bad calls from which a version can be taken back.
