--- /dev/null
+++ b/test/platform/platform_test.go
@@ -0,0 +1,290 @@
+// Package platform_test runs the daemon as the users' platform does: by its settings file, its calls and its signals, as
+// processes on the loopback interface.
+package platform_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// eventTimeout bounds the wait for anything to happen; on a quiet machine all of it takes some seconds.
+	eventTimeout = 60 * time.Second
+	pollInterval = 20 * time.Millisecond
+	stopTimeout  = 15 * time.Second
+)
+
+// deployment is three control instances and two nodes, each with an address of its own in 127.0.0.0/8.
+type deployment struct {
+	t      *testing.T
+	binary string
+	dir    string
+	ports  [4]int
+	seeds  []string
+	client *http.Client
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}}
+	d.binary = filepath.Join(d.dir, "samphireflowd")
+	build := exec.Command("go", "build", "-o", d.binary, "samphireflow/cmd/samphireflowd")
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	for i := range d.ports {
+		d.ports[i] = freePort(t)
+	}
+	for i := 1; i <= 3; i++ {
+		d.seeds = append(d.seeds, net.JoinHostPort(ipOf(i), strconv.Itoa(d.ports[3])))
+	}
+	return d
+}
+
+// freePort returns a port that is free on all addresses.
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp", "0.0.0.0:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// ipOf is the address of the i-th instance; the process ID keeps test runs on one machine apart.
+func ipOf(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, i)
+}
+
+func (d *deployment) addr(i, port int) string {
+	return net.JoinHostPort(ipOf(i), strconv.Itoa(d.ports[port]))
+}
+
+// start runs one instance and stops it at the end of the test: it must end by itself, without an error.
+func (d *deployment) start(i int, local string) {
+	settings := fmt.Sprintf(`[LocalNode]
+Node = "instance-%d"
+Ip = "%s"
+Zone = "zone-%d"
+Region = "r"
+Bootstrap = true
+%s
+[Network]
+InternalPortRange = [%d,%d]
+Seeds = ["%s"]
+[Network.Listen]
+Inbound = "%s"
+Outbound = "%s"
+Ready = "%s"
+Control = "%s"
+[Terms.Bounds]
+GraceS = 6
+ConfigPropagationS = 2
+`, i, ipOf(i), i%2, local, 20000+i, 20015+i, strings.Join(d.seeds, `","`), d.addr(i, 0), d.addr(i, 1), d.addr(i, 2), d.addr(i, 3))
+	path := filepath.Join(d.dir, fmt.Sprintf("instance-%d.toml", i))
+	require.NoError(d.t, os.WriteFile(path, []byte(settings), 0o600))
+	logs, err := os.Create(filepath.Join(d.dir, fmt.Sprintf("instance-%d.log", i)))
+	require.NoError(d.t, err)
+	process := exec.Command(d.binary)
+	process.Env = append(os.Environ(), "SAMPHIREFLOW_SETTINGS="+path)
+	process.Stdout, process.Stderr = logs, logs
+	require.NoError(d.t, process.Start())
+	d.t.Cleanup(func() { d.stop(process, logs.Name()) })
+}
+
+func (d *deployment) stop(process *exec.Cmd, logs string) {
+	require.NoError(d.t, process.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() { ended <- process.Wait() }()
+	select {
+	case err := <-ended:
+		if d.t.Failed() || err != nil {
+			text, _ := os.ReadFile(logs)
+			d.t.Logf("%s:\n%s", filepath.Base(logs), text)
+		}
+		require.NoError(d.t, err)
+	case <-time.After(stopTimeout):
+		_ = process.Process.Kill()
+		d.t.Error("a process did not end after SIGTERM")
+	}
+}
+
+// call sends one request and returns the status and the body, 0 when there was no answer.
+func (d *deployment) call(method, addr, target, body string, header ...string) (int, string, http.Header) {
+	request, err := http.NewRequest(method, "http://"+addr+target, strings.NewReader(body))
+	require.NoError(d.t, err)
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+		if header[i] == "Host" {
+			request.Host = header[i+1]
+		}
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(d.t, err)
+	return response.StatusCode, string(text), response.Header
+}
+
+func (d *deployment) eventually(what string, check func() bool) {
+	require.Eventually(d.t, check, eventTimeout, pollInterval, what)
+}
+
+// backend is a backend server of the platform: it stamps its answers and refuses requests for another one.
+type backend struct {
+	id   string
+	addr string
+	runs atomic.Int64
+}
+
+func startBackend(t *testing.T, id, ip string) *backend {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	require.NoError(t, err)
+	b := &backend{id: id, addr: listener.Addr().String()}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		if r.Header.Get("X-Target-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		b.runs.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Server-Stamp", "stamp-"+id)
+		fmt.Fprintf(w, "%s %s %s %s %s", id, r.Method, r.RequestURI, body, r.Header.Get("X-Caller-Service"))
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return b
+}
+
+// beat announces a backend server to the node beside it.
+func (d *deployment) beat(node int, b *backend, state string, seq int) int {
+	body := fmt.Sprintf(`{"Service":"rota","Address":"%s","Zone":"zone-%d","Version":"v1","Slots":4,"State":"%s","ColdLeftS":0,"Seq":%d,"born":1700000000000}`, b.addr, node%2, state, seq)
+	status, _, _ := d.call("PUT", d.addr(node, 3), "/-/instances/"+b.id, body, "Content-Type", "application/json")
+	return status
+}
+
+func configOf(number, timeout string) string {
+	return `{"Version":"` + number + `","Routes":{"Columns":["Name","Host","PathPrefix","Kind","TimeoutS","TargetLatencyS","Priority","Service","MaxAttempts"],"Rows":[` +
+		`["read","rota.example","/read/","safe",` + timeout + `,0.3,1,"rota",2],["book","rota.example","/book/","unsafe",1,0.3,0,"rota",2]]},` +
+		`"Services":{"Columns":["Name","HealthPath","MaxConnections"],"Rows":[["rota","/health",130]]},"Limits":{"MaxHeaderBytes":16384}}`
+}
+
+func TestTheDaemonOnThePlatform(t *testing.T) {
+	d := newDeployment(t)
+	for i := 1; i <= 3; i++ {
+		d.start(i, fmt.Sprintf("Serves = [\"control_plane\"]\nDataDir = %q", filepath.Join(d.dir, strconv.Itoa(i))))
+	}
+	nodes := []int{4, 5}
+	for _, i := range nodes {
+		d.start(i, "Serves = [\"sidecar\"]\nService = \"rota\"")
+	}
+	control := func(n int) string { return d.seeds[n%3] }
+	put := func(n int, base, config string) int {
+		status, _, _ := d.call("PUT", control(n), "/-/config", config, "If-Match", base, "Content-Type", "application/json")
+		return status
+	}
+
+	// The configuration: refused calls before it, one winner on one number, acknowledged again when sent again, read back
+	// as it was sent.
+	d.eventually("a node without a configuration answers", func() bool {
+		status, _, _ := d.call("GET", d.addr(4, 1), "/read/", "", "Host", "rota.example", "X-Attempt-Id", "0", "X-Deadline-Ms", "500")
+		return status == http.StatusServiceUnavailable
+	})
+	first := configOf("00000004", "1.0")
+	attempt := 0
+	d.eventually("the first configuration is accepted", func() bool { attempt++; return put(attempt, "00000000", first) == 200 })
+	second := configOf("0000000c", "0.9")
+	d.eventually("a second one is accepted", func() bool { attempt++; return put(attempt, "00000004", second) == 200 })
+	for n := range 3 {
+		require.Equal(t, 200, put(n, "00000000", first), "a resend is acknowledged")
+		require.Equal(t, 412, put(n, "00000004", configOf("0000000d", "0.8")), "the loser of a race")
+		require.Equal(t, 400, put(n, "0000000c", configOf("0000000d", "601")), "an invalid one")
+		status, body, _ := d.call("GET", control(n), "/-/config", "")
+		require.Equal(t, 200, status)
+		require.Equal(t, second, body)
+	}
+
+	// Announcements make the nodes ready, and calls reach both backend servers from either node.
+	backends := []*backend{startBackend(t, "i-4", ipOf(4)), startBackend(t, "i-5", ipOf(5))}
+	var seq atomic.Int64
+	stopBeats := make(chan struct{})
+	defer close(stopBeats)
+	states := [2]atomic.Value{}
+	for i := range backends {
+		states[i].Store("ready")
+		go func() {
+			for {
+				d.beat(nodes[i], backends[i], states[i].Load().(string), int(seq.Add(1)))
+				select {
+				case <-stopBeats:
+					return
+				case <-time.After(500 * time.Millisecond):
+				}
+			}
+		}()
+	}
+	for _, i := range nodes {
+		d.eventually("the node is ready", func() bool {
+			status, _, _ := d.call("GET", d.addr(i, 2), "/-/readyz", "")
+			return status == 200
+		})
+	}
+	number := 0
+	ask := func(node int, method, path, body string) (int, string, http.Header) {
+		number++
+		return d.call(method, d.addr(node, 1), path, body, "Host", "rota.example", "X-Attempt-Id", strconv.Itoa(number), "X-Deadline-Ms", "2000")
+	}
+	d.eventually("both backend servers get calls", func() bool {
+		ask(4, "GET", "/read/1?x=%2F", "")
+		ask(5, "GET", "/read/1?x=%2F", "")
+		return backends[0].runs.Load() > 0 && backends[1].runs.Load() > 0
+	})
+	before := backends[0].runs.Load() + backends[1].runs.Load()
+	status, body, header := ask(4, "POST", "/book/2", "crew")
+	require.Equal(t, 200, status)
+	require.Contains(t, body, "POST /book/2 crew rota")
+	require.Contains(t, header.Get("X-Server-Stamp"), "stamp-")
+	require.Equal(t, before+1, backends[0].runs.Load()+backends[1].runs.Load())
+	status, _, _ = ask(4, "GET", "/nowhere/", "")
+	require.Equal(t, 404, status)
+
+	// A backend server that leaves gets no call after its word was acknowledged.
+	states[1].Store("draining")
+	require.Equal(t, 200, d.beat(5, backends[1], "draining", int(seq.Add(1))))
+	left := backends[1].runs.Load()
+	d.eventually("the node knows the other backend server", func() bool {
+		status, _, _ := ask(5, "GET", "/read/3", "")
+		return status == 200
+	})
+	for range 20 {
+		status, body, _ := ask(5, "GET", "/read/3", "")
+		require.Equal(t, 200, status)
+		require.Contains(t, body, "i-4 ")
+	}
+	require.Equal(t, left, backends[1].runs.Load())
+
+	// A rollout to a version that never comes is taken back by its time limit.
+	order := `{"Service":"rota","TargetVersion":"v2","DurationS":2}`
+	d.eventually("the rollout is accepted", func() bool {
+		status, _, _ := d.call("POST", control(0), "/-/rollouts", order, "Content-Type", "application/json")
+		return status == 200
+	})
+	d.eventually("it is taken back", func() bool {
+		status, body, _ := d.call("GET", control(1), "/-/rollouts/rota", "")
+		return status == 200 && strings.Contains(body, `"rolled_back"`) && strings.Contains(body, `"v2"`)
+	})
+}
