Leave unreachable backend servers alone while others are full; one log line for a refused call

Change: a backend server that is to be avoided is a candidate only when all are; attempts refused for want of room are listed in the line of the call.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -34,12 +34,12 @@
 	table := i.options.Table()
 	route, bad := i.route(table, r)
 	if bad != nil {
-		i.refuse(w, r, id, "", bad)
+		i.refuse(w, r, &trip{call: &calls.Call{ID: id}}, bad)
 		return
 	}
 	c, bad := i.read(table, route, r, arrived)
 	if bad != nil {
-		i.refuse(w, r, id, route.Config.Name, bad)
+		i.refuse(w, r, &trip{call: &calls.Call{ID: id, Route: route.Config.Name}}, bad)
 		return
 	}
 	t := &trip{ingress: i, table: table, route: route, call: c, arrived: arrived, service: drawService(route, i.options.Random)}
@@ -50,7 +50,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if bad != nil {
-		i.refuse(w, r, id, route.Config.Name, bad)
+		i.refuse(w, r, t, bad)
 		return
 	}
 	header := w.Header()
@@ -132,9 +132,14 @@
 	return size
 }
 
-// refuse gives an answer of the system's own and logs why.
-func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, id, route string, bad *refusal) {
-	i.options.Logger.Info().Str("request_id", id).Str("route", route).Str("peer", r.RemoteAddr).Str("method", r.Method).Str("host", r.Host).Str("target", r.RequestURI).
-		Int("status", bad.status).Dur("retry_after_ms", bad.retryAfter).Str("reason", bad.message).Msg("call refused or failed")
+// refuse gives an answer of the system's own and logs why, with the attempts that were made.
+func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, t *trip, bad *refusal) {
+	event := i.options.Logger.Info().Str("request_id", t.call.ID).Str("route", t.call.Route).Str("service", t.service).
+		Str("peer", r.RemoteAddr).Str("method", r.Method).Str("host", r.Host).Str("target", r.RequestURI).
+		Int("status", bad.status).Dur("retry_after_ms", bad.retryAfter).Str("reason", bad.message)
+	if t.table != nil {
+		event = event.Uint64("version", t.table.Snapshot.Version).Bool("late", t.late).Array("attempts", attempts(t.history))
+	}
+	event.Msg("call refused or failed")
 	bad.write(w)
 }
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -48,6 +48,8 @@
 	// retryAfter is the shortest time after which a gate would have let the call in.
 	retryAfter time.Duration
 	last       *calls.Result
+	// history holds what came of each attempt, for the log.
+	history []attempt
 }
 
 // run carries the call until there is an answer or none is to be had.
@@ -167,7 +169,8 @@
 		t.sends++
 	}
 	t.tried[info.Instance] = true
-	if result.Fate != calls.Answered {
+	t.history = append(t.history, attempt{info.Instance, result})
+	if result.Fate != calls.Answered && result.Reason != calls.ReasonFull {
 		t.ingress.options.Logger.Info().Str("request_id", t.call.ID).Str("route", t.call.Route).Str("service", t.service).
 			Str("backend_server", info.Instance).Str("node", info.Node).Uint64("version", t.table.Snapshot.Version).
 			Str("fate", string(result.Fate)).Str("reason", string(result.Reason)).Str("detail", result.Detail).
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 )
 
@@ -37,19 +38,18 @@
 // Load pattern: backend servers of one service differ in speed by a factor of three and have few slots; a node sees
 // them only through its own calls. A call goes to the own failure domain as long as it is likely to be answered by its
 // objective there: the cost grows with the square of the expected time over the objective. A backend server that is to be
-// avoided is taken only when there is no other.
+// avoided is taken only when all are: while the others are full, a call that waits for one that cannot be reached loses
+// the time in which it could come back.
 func Choose(candidates []Candidate, objective time.Duration, random func() float64, now time.Time) int {
 	sights := make([]sight, len(candidates))
 	for i, candidate := range candidates {
 		sights[i] = candidate.View.at(now)
 	}
 	typical := typicalTime(sights)
+	avoided := !slices.ContainsFunc(sights, func(s sight) bool { return !s.avoid })
 	best, bestCost := -1, 0.0
-	for _, avoided := range []bool{false, true} {
-		for i, candidate := range candidates {
-			if candidate.Tried || sights[i].avoid != avoided {
-				continue
-			}
+	for i, candidate := range candidates {
+		if !candidate.Tried && sights[i].avoid == avoided {
 			part := sights[i].expected(typical) / float64(max(objective, time.Millisecond))
 			cost := part*part + errorCost*sights[i].errors + spread*random()
 			if !candidate.Local {
@@ -59,9 +59,6 @@
 				best, bestCost = i, cost
 			}
 		}
-		if best >= 0 {
-			return best
-		}
 	}
 	return best
 }
