--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,7 +25,7 @@
 	// that a connection is kept without a request.
 	MaxHeaderBytes int
 	HeaderTime     time.Duration
-	IdleTime       time.Duration
+	IdleTime       func() time.Duration
 	Logger         zerolog.Logger
 }
 
@@ -52,11 +54,12 @@
 			return nil
 		}
 		if err != nil {
-			var temporary interface{ Timeout() bool }
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
+			if !passing(err) {
+				return err
 			}
-			return err
+			s.options.Logger.Warn().Err(err).Int("connections", len(s.list())).Msg("a connection could not be taken")
+			time.Sleep(acceptPause)
+			continue
 		}
 		one := newSession(s, newConn(inner))
 		s.mu.Lock()
@@ -73,6 +76,20 @@
 	}
 }
 
+// acceptPause is the time after which a listener that has run out of descriptors tries again.
+const acceptPause = 10 * time.Millisecond
+
+// passing reports whether an error of a listener may pass: the process is short of descriptors or memory for a moment, or
+// the connection that waited has gone.
+func passing(err error) bool {
+	for _, one := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, os.ErrDeadlineExceeded} {
+		if errors.Is(err, one) {
+			return true
+		}
+	}
+	return false
+}
+
 // CloseAfterAnswers makes the next answer on each connection its last one. Requests behind it have not been read as far
 // as the caller is concerned.
 func (s *Server) CloseAfterAnswers() {
--- a/internal/callerconn/server_test.go
+++ b/internal/callerconn/server_test.go
@@ -26,7 +26,7 @@
 		Parallel:       func(r *http.Request) bool { return r.Method == http.MethodGet },
 		MaxHeaderBytes: 16 << 10,
 		HeaderTime:     testTimeout,
-		IdleTime:       testTimeout,
+		IdleTime:       func() time.Duration { return testTimeout },
 		Logger:         zerolog.Nop(),
 	})
 	ended := make(chan error, 1)
--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -173,7 +173,7 @@
 // read waits for a request and reads its header.
 func (s *session) read() (*http.Request, error) {
 	s.limit.left = s.server.options.MaxHeaderBytes
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.options.IdleTime))
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.options.IdleTime()))
 	s.idle.Store(true)
 	if s.server.stopping.Load() && s.reader.Buffered() == 0 {
 		// A stop that did not find the session idle yet.
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -32,9 +32,8 @@
 	stayPart = 0.5
 	// endPart is the part of the stop time by which calls must have ended.
 	endPart = 0.92
-	// idleCallers is the time after which an idle connection of a caller is closed. It is above what deployments let
-	// callers count on.
-	idleCallers = 60 * time.Second
+	// defaultCallersIdle is the time after which an idle connection of a caller is closed before there is a configuration.
+	defaultCallersIdle = 15 * time.Second
 )
 
 // gated is the part of a node that carries calls from gate to gate.
@@ -142,6 +141,14 @@
 	}
 }
 
+// callersIdle is the time that idle connections of callers are kept, as the configuration says.
+func (d *Daemon) callersIdle() time.Duration {
+	if table := d.node.Table(); table != nil && table.Callers.IdleTime > 0 {
+		return table.Callers.IdleTime
+	}
+	return defaultCallersIdle
+}
+
 // callerHeaderTime is the time in which the header of a caller's request must arrive.
 const callerHeaderTime = 5 * time.Second
 
@@ -152,7 +159,7 @@
 		Parallel:       d.gated.ingress.Parallel,
 		MaxHeaderBytes: maxHeaderBytes,
 		HeaderTime:     callerHeaderTime,
-		IdleTime:       idleCallers,
+		IdleTime:       d.callersIdle,
 		Logger:         d.logger,
 	})
 }
--- a/internal/move/brisk_test.go
+++ b/internal/move/brisk_test.go
@@ -121,10 +121,12 @@
 func TestBriskBadVersionIsTakenBack(t *testing.T) {
 	const length = 12 * time.Second
 	for name, version := range map[string]func(at time.Duration, route int, share float64) (float64, float64){
-		"errors":       func(time.Duration, int, float64) (float64, float64) { return 0.5, 0 },
-		"slow":         func(time.Duration, int, float64) (float64, float64) { return 0, 0.5 },
-		"one route":    func(_ time.Duration, route int, _ float64) (float64, float64) { return []float64{0.5, 0}[route], 0 },
-		"late":         func(at time.Duration, _ int, _ float64) (float64, float64) { return map[bool]float64{true: 0.5}[at > 5*time.Second], 0 },
+		"errors":    func(time.Duration, int, float64) (float64, float64) { return 0.5, 0 },
+		"slow":      func(time.Duration, int, float64) (float64, float64) { return 0, 0.5 },
+		"one route": func(_ time.Duration, route int, _ float64) (float64, float64) { return []float64{0.5, 0}[route], 0 },
+		"late": func(at time.Duration, _ int, _ float64) (float64, float64) {
+			return map[bool]float64{true: 0.5}[at > 5*time.Second], 0
+		},
 		"errors, weak": func(time.Duration, int, float64) (float64, float64) { return 0.35, 0 },
 	} {
 		for seed := range uint64(briskSeeds) {
