--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -27,6 +27,8 @@
 	HeaderTime     time.Duration
 	IdleTime       func() time.Duration
 	Logger         zerolog.Logger
+	// MaxKept is the number of connections beyond which answers close theirs; 0 for no bound.
+	MaxKept int
 }
 
 // Server serves the connections of a listener.
@@ -39,6 +41,8 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	ended    sync.WaitGroup
+	// open is the number of sessions.
+	open atomic.Int64
 }
 
 // NewServer returns a server without connections.
@@ -66,12 +70,14 @@
 		s.sessions[one] = struct{}{}
 		s.mu.Unlock()
 		s.ended.Add(1)
+		s.open.Add(1)
 		go func() {
 			defer s.ended.Done()
 			one.run()
 			s.mu.Lock()
 			delete(s.sessions, one)
 			s.mu.Unlock()
+			s.open.Add(-1)
 		}()
 	}
 }
@@ -96,6 +102,11 @@
 	s.closing.Store(true)
 }
 
+// closesNext reports whether the next answer on a connection is to be its last one.
+func (s *Server) closesNext() bool {
+	return s.closing.Load() || s.options.MaxKept > 0 && s.open.Load() > int64(s.options.MaxKept)
+}
+
 // Shutdown closes idle connections and waits until the requests in flight are answered, or the context ends; then it
 // breaks the rest off and returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -159,12 +159,12 @@
 	return s.last
 }
 
-// seal decides whether an answer says that the connection closes: the caller wants it, or the server stops and no request
+// seal decides whether an answer says that the connection closes: the caller wants it, or the server stops or has too many connections and no request
 // was taken after this one. Either way no further one is taken.
 func (s *session) seal(a *answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.closes || s.server.closing.Load() && s.last == a.done {
+	if a.closes || s.server.closesNext() && s.last == a.done {
 		s.sealed = true
 	}
 	return s.sealed
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -141,6 +141,10 @@
 	}
 }
 
+// maxKeptCallers is the number of callers' connections beyond which none is kept: callers that are refused come back on
+// new connections, and leave the old ones open. It is a quarter of the descriptors that a process commonly has.
+const maxKeptCallers = 1000
+
 // callersIdle is the time that idle connections of callers are kept, as the configuration says.
 func (d *Daemon) callersIdle() time.Duration {
 	if table := d.node.Table(); table != nil && table.Callers.IdleTime > 0 {
@@ -161,6 +165,7 @@
 		HeaderTime:     callerHeaderTime,
 		IdleTime:       d.callersIdle,
 		Logger:         d.logger,
+		MaxKept:        maxKeptCallers,
 	})
 }
 
