Tell callers the truth after a lost answer; try a backend server that is down by one call at a time

Change: after an attempt that may have run the answer is 502, or 504 at the deadline; a gate whose backend server takes no connection lets one call try again and refuses the others at once; dialling the own machine gives up after 100 ms. Seen red: TestRefusalIsTrue (503), TestDownIsTriedByOneCall.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -16,9 +16,11 @@
 
 const (
 	// dialTimeout bounds the opening of a connection to the backend server, which is on the same machine.
-	dialTimeout = 250 * time.Millisecond
-	// downTime is the time for which calls are refused after no connection could be opened.
-	downTime = 200 * time.Millisecond
+	dialTimeout = 100 * time.Millisecond
+	// downTime is the time for which calls are refused after no connection could be opened. Then one call tries again, and
+	// the others are refused for trialTime.
+	downTime  = 200 * time.Millisecond
+	trialTime = 2 * dialTimeout
 	// defaultSlots stands for backend servers that announce no number of slots.
 	defaultSlots = 10
 	// answerGrace is the time beyond the deadline in which the backend server's own answer to it is waited for.
@@ -52,6 +54,8 @@
 	queue   *Queue
 	// downUntil is the end of the time in which the backend server is taken for down.
 	downUntil time.Time
+	// down is set from the first failed connection to the next answer.
+	down bool
 }
 
 // start names one start of a backend server.
@@ -96,6 +100,9 @@
 	if refused != nil {
 		return refused
 	}
+	if refused := g.allow(); refused != nil {
+		return refused
+	}
 	queue, verdict := g.waitForSlot(ctx, c, server, patience)
 	if verdict.Action != Run {
 		return g.turnedAway(ctx, verdict)
@@ -152,19 +159,38 @@
 			g.client.Drop(g.current.addr)
 		}
 		g.current = now
-		g.downUntil = time.Time{}
+		g.down, g.downUntil = false, time.Time{}
 		slots := int(info.Slots)
 		if slots == 0 {
 			slots = defaultSlots
 		}
 		g.queue = NewQueue(slots)
 	}
-	if g.options.Now().Before(g.downUntil) {
-		return start{}, refusal(calls.ReasonUnreachable, "the backend server took no connection a moment ago")
-	}
 	return now, nil
 }
 
+// allow refuses calls while the backend server takes no connections, but for one from time to time that tries again.
+func (g *Gate) allow() *calls.Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.down {
+		return nil
+	}
+	now := g.options.Now()
+	if now.Before(g.downUntil) {
+		return refusal(calls.ReasonUnreachable, "the backend server took no connection a moment ago")
+	}
+	g.downUntil = now.Add(trialTime)
+	return nil
+}
+
+// reached notes that the backend server answers.
+func (g *Gate) reached() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.down = false
+}
+
 // waitForSlot returns the queue in which the call has a slot, or why it has none.
 func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, server start, patience time.Time) (*Queue, Verdict) {
 	ticket := &Ticket{Route: c.Route, Priority: c.Priority, Objective: c.Objective, Patience: patience, Deadline: c.Deadline}
@@ -217,6 +243,7 @@
 		cancel()
 		return g.failed(err)
 	}
+	g.reached()
 	if response.Rest == nil {
 		cancel()
 	} else {
@@ -255,7 +282,7 @@
 		return &calls.Result{Fate: calls.Expired, Reason: calls.ReasonDeadline, Detail: err.Error()}
 	case errors.Is(err, exchange.ErrNotSent):
 		g.mu.Lock()
-		g.downUntil = g.options.Now().Add(downTime)
+		g.down, g.downUntil = true, g.options.Now().Add(downTime)
 		g.mu.Unlock()
 		return refusal(calls.ReasonUnreachable, err.Error())
 	}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,77 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/calls"
+	"samphireflow/internal/outcome"
+)
+
+// gateBeside is a gate beside a backend server at an address, with a clock that the test moves.
+func gateBeside(addr string, clock *time.Time) (*Gate, *apiv1.BackendServer) {
+	info := &apiv1.BackendServer{Instance: "a", Service: "rota", Version: "v1", Addr: addr, Slots: 2, State: apiv1.ServerState_SERVER_STATE_READY}
+	return New(Options{
+		Local:    func() *apiv1.BackendServer { return info },
+		Headers:  calls.DefaultHeaders(),
+		Recorder: outcome.NewSum("hobart"),
+		Logger:   zerolog.Nop(),
+		Now:      func() time.Time { return *clock },
+	}), info
+}
+
+func callAt(now time.Time) *calls.Call {
+	return &calls.Call{
+		ID: "1", Route: "lookup", Method: "GET", Target: "/", Host: "h", Header: http.Header{calls.DefaultHeaders().RequestID: {"1"}},
+		Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute),
+	}
+}
+
+func TestGateRefusesForAnotherAndALeavingServer(t *testing.T) {
+	clock := time.Now()
+	g, info := gateBeside("127.0.0.1:1", &clock)
+	other := g.Pass(context.Background(), callAt(clock), "b", clock.Add(time.Second))
+	require.Equal(t, calls.NotRun, other.Fate)
+	require.Equal(t, calls.ReasonMisdirected, other.Reason)
+	info.State = apiv1.ServerState_SERVER_STATE_DRAINING
+	leaving := g.Pass(context.Background(), callAt(clock), "a", clock.Add(time.Second))
+	require.Equal(t, calls.NotRun, leaving.Fate)
+	require.Equal(t, calls.ReasonDraining, leaving.Reason)
+}
+
+// Load pattern: the backend server is down. One call in a while finds that out; the others are refused at once, so that
+// they can go elsewhere, and the first answer lets all in again.
+func TestDownIsTriedByOneCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	clock := time.Now()
+	g, _ := gateBeside(addr, &clock)
+	pass := func() *calls.Result {
+		return g.Pass(context.Background(), callAt(clock), "a", clock.Add(time.Second))
+	}
+	require.Contains(t, pass().Detail, "refused")
+	require.Contains(t, pass().Detail, "a moment ago")
+	clock = clock.Add(downTime)
+	require.Nil(t, g.allow(), "one call tries again")
+	require.Contains(t, pass().Detail, "a moment ago")
+
+	listener, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(calls.DefaultHeaders().RequestID, r.Header.Get(calls.DefaultHeaders().RequestID))
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	clock = clock.Add(trialTime)
+	require.Equal(t, calls.Answered, pass().Fate)
+	require.Equal(t, calls.Answered, pass().Fate)
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// TestRefusalIsTrue loses the answer of one backend server and finds no room at the others: the call may have run, and the
+// caller is not told that it has not.
+func TestRefusalIsTrue(t *testing.T) {
+	count := 0
+	r := newRig(t, func(*calls.Call, string, time.Time) *calls.Result {
+		if count++; count == 1 {
+			return &calls.Result{Fate: calls.Unknown}
+		}
+		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull}
+	})
+	require.Equal(t, http.StatusBadGateway, r.call("GET", "/lookup/", "").Code)
+	require.Greater(t, count, 1)
+}
+
 // TestAttemptsAreBounded: every backend server loses its answer; no more than the route's attempts run the call.
 func TestAttemptsAreBounded(t *testing.T) {
 	r := newRig(t, func(*calls.Call, string, time.Time) *calls.Result { return &calls.Result{Fate: calls.Unknown} })
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	apiv1 "samphireflow/api/v1"
@@ -250,7 +251,7 @@
 
 // ended is the answer to a call whose context ended before it ran.
 func (t *trip) ended(ctx context.Context) *refusal {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if context.Cause(ctx) == context.DeadlineExceeded || t.mayHaveRun() {
 		return expired()
 	}
 	return notRun("the caller left", leastRetryAfter)
@@ -258,6 +259,9 @@
 
 // refused is the answer to a call that found no backend server.
 func (t *trip) refused() *refusal {
+	if t.mayHaveRun() {
+		return unknown("no whole answer came from a backend server, and no other has room")
+	}
 	after := min(max(t.retryAfter, leastRetryAfter), mostRetryAfter)
 	if t.last == nil {
 		return notRun("service "+t.service+" has no ready backend server", after)
@@ -265,6 +269,11 @@
 	return notRun("service "+t.service+" has no room: "+string(t.last.Reason), after)
 }
 
+// mayHaveRun reports whether an attempt may have run: then the caller must not be told that none has.
+func (t *trip) mayHaveRun() bool {
+	return slices.ContainsFunc(t.history, func(a attempt) bool { return a.result.Fate != calls.NotRun })
+}
+
 func (t *trip) fingerprint() suspect.Fingerprint {
 	return suspect.NewFingerprint(t.call.Route, t.call.Method, t.call.Host+t.call.Target, t.call.Body)
 }
