Let the checker of booking histories find a verdict: a booking without an answer has run when the state says

Bookings whose callers got no answer could stand anywhere after their calls. The state behind the backend servers knows when each has run, which is a stricter bound; one that has not run by the end has no effect.

--- a/internal/proxy/history_test.go
+++ b/internal/proxy/history_test.go
@@ -33,6 +33,8 @@
 	mu      sync.Mutex
 	entries map[string]string
 	runs    map[string]int
+	// ranAt is the time at which the request of a key has run.
+	ranAt map[string]time.Time
 }
 
 // run executes a request and returns the state of its slot.
@@ -41,6 +43,7 @@
 	defer r.mu.Unlock()
 	if method == http.MethodPost {
 		r.runs[key]++
+		r.ranAt[key] = time.Now()
 		if body == "cancel" {
 			r.entries[slot] = ""
 		} else {
@@ -159,7 +162,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			random := lockedRandom(seed)
-			state := &rota{entries: map[string]string{}, runs: map[string]int{}}
+			state := &rota{entries: map[string]string{}, runs: map[string]int{}, ranAt: map[string]time.Time{}}
 			holders := newHolderSet(random)
 			infos := []*apiv1.BackendServer{
 				serverInfo("a", faultyBackend(t, state, random).addr), serverInfo("b", faultyBackend(t, state, random).addr),
@@ -173,7 +176,7 @@
 				settings := defaults(tree.KeyCallTimeout, "400ms", tree.KeyEjectMaxShare, "0")
 				nodes = append(nodes, newRig(t, Options{Instance: fmt.Sprint("n", i), Claims: client, Recorder: discard{}}, settings, infos...))
 			}
-			history := runHistory(t, nodes, holders, random)
+			history := runHistory(t, nodes, holders, state, random)
 			for key, runs := range state.runs {
 				require.Equal(t, 1, runs, "%s ran %d times", key, runs)
 			}
@@ -183,9 +186,14 @@
 }
 
 // runHistory lets callers send their requests while one holder after the other loses its memory.
-func runHistory(t *testing.T, nodes []*rig, holders *holderSet, random func(int) int) []porcupine.Operation {
+//
+// A booking whose caller got no answer has run by the time that the state behind the backend servers says, or has no
+// effect on the history if it has not run by its end. Without that, each such booking may stand anywhere after its call,
+// and the checker finds no verdict among the orders of many.
+func runHistory(t *testing.T, nodes []*rig, holders *holderSet, state *rota, random func(int) int) []porcupine.Operation {
 	var mu sync.Mutex
-	var history []porcupine.Operation
+	var history, unanswered []porcupine.Operation
+	var keys []string
 	var wg sync.WaitGroup
 	started := time.Now()
 	for caller := range historyCallers {
@@ -196,21 +204,34 @@
 				}
 				op := randomOp(random, fmt.Sprintf("[%d.%d]", caller, number))
 				call := time.Since(started).Nanoseconds()
-				output, ran := sendUntilKnown(t, nodes, random, op, fmt.Sprintf("k%d-%d", caller, number))
+				key := fmt.Sprintf("k%d-%d", caller, number)
+				output, ran := sendUntilKnown(t, nodes, random, op, key)
 				if !ran {
 					continue
 				}
 				entry := porcupine.Operation{ClientId: caller, Input: op, Call: call, Output: output, Return: time.Since(started).Nanoseconds()}
+				mu.Lock()
 				if output == nil {
-					entry.Return = time.Hour.Nanoseconds()
+					unanswered = append(unanswered, entry)
+					keys = append(keys, key)
+				} else {
+					history = append(history, entry)
 				}
-				mu.Lock()
-				history = append(history, entry)
 				mu.Unlock()
 			}
 		})
 	}
 	wg.Wait()
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	for i, entry := range unanswered {
+		ranAt, ran := state.ranAt[keys[i]]
+		if !ran {
+			continue
+		}
+		entry.Return = max(ranAt.Sub(started).Nanoseconds(), entry.Call) + 1
+		history = append(history, entry)
+	}
 	return history
 }
 
