--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -10,8 +10,6 @@
 	// overrun is the factor by which the expected time may exceed the patience of a call that waits already, so that
 	// small changes of the estimate turn nobody away.
 	overrun = 1.25
-	// lengthWeight is the number of times that a call's own time puts it off behind others of its rank.
-	lengthWeight = 4
 	// leastRetry is the shortest time after which a refused caller is asked to come back.
 	leastRetry = 20 * time.Millisecond
 )
@@ -117,7 +115,7 @@
 	q.waiting = q.waiting[:last]
 }
 
-// before orders two calls: first those that can meet their objective, then by priority, by due time and by arrival.
+// before orders two calls: first those that can meet their objective, then by priority, by objective and by arrival.
 func (q *Queue) before(a, b *Ticket, now time.Time) bool {
 	aLate, bLate := q.late(a, now), q.late(b, now)
 	switch {
@@ -125,23 +123,12 @@
 		return bLate
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
-	}
-	aDue, bDue := q.due(a), q.due(b)
-	if !aDue.Equal(bDue) {
-		return aDue.Before(bDue)
+	case !a.Objective.Equal(b.Objective):
+		return a.Objective.Before(b.Objective)
 	}
 	return a.arrived < b.arrived
 }
 
-// due is the time by which calls of one rank are ordered: the objective, put off for calls that hold a slot for long.
-//
-// Load pattern: calls of other backend servers, short and with a short objective, meet long calls of callers at a service
-// that is short of room. A short call costs little of the slots, and when it is refused, all that its caller's call has
-// cost is wasted.
-func (q *Queue) due(t *Ticket) time.Time {
-	return t.Objective.Add(lengthWeight * q.times.Of(t.Route))
-}
-
 // late reports whether a call would miss its objective even if it ran at once.
 func (q *Queue) late(t *Ticket, now time.Time) bool {
 	return now.Add(q.times.Of(t.Route)).After(t.Objective)
