Do not advance a move at its deadline on evidence that speaks against it

Cause (known red, TestShareNeverGrowsOnBadEvidence): with the rule to advance, the share grew to the whole at the deadline after 8 of 16 calls had failed. The rule took bad evidence that was not certain yet for thin evidence. Ruled out: the tests of blocks, which cannot be certain with 16 calls. Change: at the last call a version with four failures or more, above the old rate and the margin, expires.

--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -80,10 +80,20 @@
 	if missing == "" || d.clearedOnce() {
 		return d.forward(testStages, d.evidence())
 	}
-	if d.judge.policy.ThinEvidence == tree.ThinEvidenceAdvance {
+	if d.judge.policy.ThinEvidence == tree.ThinEvidenceAdvance && !d.speaksAgainst() {
 		return d.forward(testStages, "evidence is thin at the deadline and the rule is to advance: "+missing)
 	}
-	return d.step(apiv1.MoveState_MOVE_STATE_EXPIRED, 0, "evidence is thin at the deadline and the rule is to take back: "+missing)
+	return d.step(apiv1.MoveState_MOVE_STATE_EXPIRED, 0, "evidence is thin at the deadline, or speaks against the version: "+missing)
+}
+
+// speaksAgainst reports whether the calls of the new version failed more often than is tolerated. The rule to advance is for
+// evidence that is thin, not for evidence that is bad but not certain yet.
+func (d *deciding) speaksAgainst() bool {
+	j := d.judge
+	if j.newBad < leastAgainst {
+		return false
+	}
+	return float64(j.newBad)/float64(j.newCalls) > j.clearing.oldRate()+j.errorMargin
 }
 
 func (d *deciding) stage() int {
--- a/internal/move/params.go
+++ b/internal/move/params.go
@@ -38,6 +38,9 @@
 	hurryFactor = 6
 	// leastBadCalls is the count of bad calls from which a route is looked at by itself.
 	leastBadCalls = 2
+	// leastAgainst is the count of bad calls from which a rate above the margin speaks against a version at its deadline:
+	// below it, a version as good as the old one often has as many.
+	leastAgainst = 4
 	// ownJudgementCalls is the count of calls of the old version from which a route must be cleared by itself.
 	ownJudgementCalls = 400
 	// routeMissRate is the miss rate for a route by itself, against the route margin.
