--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/callerconn"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/gate"
 	"samphireflow/internal/ingress"
@@ -32,8 +29,6 @@
 	stayPart = 0.5
 	// endPart is the part of the stop time by which calls must have ended.
 	endPart = 0.92
-	// defaultCallersIdle is the time after which an idle connection of a caller is closed before there is a configuration.
-	defaultCallersIdle = 15 * time.Second
 )
 
 // gated is the part of a node that carries calls from gate to gate.
@@ -140,63 +135,3 @@
 		}
 	}
 }
-
-// maxKeptCallers is the number of callers' connections beyond which none is kept: callers that are refused come back on
-// new connections, and leave the old ones open. It is a quarter of the descriptors that a process commonly has.
-const maxKeptCallers = 1000
-
-// callersIdle is the time that idle connections of callers are kept, as the configuration says.
-func (d *Daemon) callersIdle() time.Duration {
-	if table := d.node.Table(); table != nil && table.Callers.IdleTime > 0 {
-		return table.Callers.IdleTime
-	}
-	return defaultCallersIdle
-}
-
-// callerHeaderTime is the time in which the header of a caller's request must arrive.
-const callerHeaderTime = 5 * time.Second
-
-// newCallers returns the server of the callers' connections.
-func (d *Daemon) newCallers() *callerconn.Server {
-	return callerconn.NewServer(callerconn.Options{
-		Handler:        d.gated.ingress,
-		Parallel:       d.gated.ingress.Parallel,
-		MaxHeaderBytes: maxHeaderBytes,
-		HeaderTime:     callerHeaderTime,
-		IdleTime:       d.callersIdle,
-		Logger:         d.logger,
-		MaxKept:        maxKeptCallers,
-	})
-}
-
-// stoppable is a server that can be stopped without cutting a request.
-type stoppable interface {
-	Serve(listener net.Listener) error
-	Shutdown(ctx context.Context) error
-}
-
-// listening is a server on its address.
-type listening struct {
-	name     string
-	server   stoppable
-	listener *drainListener
-}
-
-func listenFor(name, addr string, server stoppable) (*listening, error) {
-	listener, err := listen(addr)
-	return &listening{name: name, server: server, listener: listener}, errors.Wrapf(err, "listen on %s address", name)
-}
-
-func (l *listening) serve() error {
-	err := l.server.Serve(l.listener)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return errors.Wrapf(err, "serve %s address", l.name)
-}
-
-// stop takes no new connections and waits for the requests in flight.
-func (l *listening) stop(ctx context.Context) error {
-	l.listener.Drain()
-	return l.server.Shutdown(ctx)
-}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,6 +21,8 @@
 	// maxForeignAnswers is the number of late answers to earlier requests that are skipped before the connection is
 	// given up.
 	maxForeignAnswers = 3
+	// unlimited is more than any body.
+	unlimited = 1 << 62
 	// maxInterim is the number of interim answers (1xx) that are skipped.
 	maxInterim = 8
 )
@@ -120,7 +122,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c.limit.left = 1 << 62
+		c.limit.left = unlimited
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -11,7 +11,7 @@
 	ErrBroken = errors.New("no whole answer came")
 )
 
-// notSent and broken keep the cause, so that errors.Is finds context errors and system errors too.
+// fateError is a fate with its cause, so that errors.Is finds context errors and system errors too.
 type fateError struct {
 	fate  error
 	cause error
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -18,6 +18,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	// What the program under test is made of, so that a change of it runs this test again.
+	_ "samphireflow/internal/daemon"
+	_ "samphireflow/platform"
 )
 
 const (
