Pass answers on by one function; strip hop headers once

Read once more: ingress and gate each cleared and copied the header fields of an answer, and a remote answer was stripped twice on the hot path; both call calls.WriteAnswer now. The choice of a backend server stood twice beside a check that could not fail, as beginning anew sets the refusals to zero; gate.Connections had no caller. Behaviour is as before.

--- a/internal/calls/body.go
+++ b/internal/calls/body.go
@@ -56,11 +56,17 @@
 	c.Body, c.HasBody, c.Stream, c.StreamLength = b.Whole, b.Has, b.Stream, b.Length
 }
 
-// WriteBody writes the status and the body of an answer. If a streamed body fails midway the connection is broken off,
+// WriteAnswer passes an answer on: its end-to-end header fields, status and body, and none of this side's own. If a streamed body fails midway the connection is broken off,
 // so that the receiver cannot take the answer for whole: it panics with http.ErrAbortHandler, as net/http wants it.
-func WriteBody(w http.ResponseWriter, status int, response *exchange.Response) {
+func WriteAnswer(w http.ResponseWriter, response *exchange.Response) {
+	header, status := w.Header(), response.Status
+	header["Date"] = nil
+	header["Content-Type"] = nil
+	for name, values := range EndToEnd(response.Header) {
+		header[name] = values
+	}
 	if response.Length >= 0 && (response.Length > 0 || bodyAllowed(status)) {
-		w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
+		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	w.WriteHeader(status)
 	// A failed write means that the receiver is gone; what is left of the answer has nobody to go to.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -83,9 +83,6 @@
 	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots()}
 }
 
-// Connections returns the number of connections that were opened to the backend server.
-func (g *Gate) Connections() int64 { return g.client.Opened() }
-
 // Pass hands a call to the backend server of the given instance name, once there is a slot for it. The call waits for
 // one only while its answer can be expected by the time of its patience. The end of the context breaks the call off.
 func (g *Gate) Pass(ctx context.Context, c *calls.Call, instance string, patience time.Time) *calls.Result {
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -59,22 +59,15 @@
 // WriteResult answers the other node.
 func WriteResult(w http.ResponseWriter, id string, names calls.Headers, result *calls.Result) {
 	header := w.Header()
-	header["Date"] = nil
-	header["Content-Type"] = nil
-	status := http.StatusServiceUnavailable
-	if result.Response != nil {
-		status = result.Response.Status
-		for name, values := range calls.EndToEnd(result.Response.Header) {
-			header[name] = values
-		}
-	} else if id != "" {
-		header.Set(names.RequestID, id)
-	}
 	header.Set(calls.HopResult, result.String())
-	if result.Response == nil {
-		header.Set("Content-Length", "0")
-		w.WriteHeader(status)
+	if result.Response != nil {
+		calls.WriteAnswer(w, result.Response)
 		return
 	}
-	calls.WriteBody(w, status, result.Response)
+	header["Date"] = nil
+	if id != "" {
+		header.Set(names.RequestID, id)
+	}
+	header.Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -53,13 +53,7 @@
 		i.refuse(w, r, t, bad)
 		return
 	}
-	header := w.Header()
-	header["Date"] = nil
-	header["Content-Type"] = nil
-	for name, values := range calls.EndToEnd(answer.Header) {
-		header[name] = values
-	}
-	calls.WriteBody(w, answer.Status, answer)
+	calls.WriteAnswer(w, answer)
 }
 
 // Parallel reports whether a request may run before the ones that came before it on its connection were answered: one
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -78,14 +78,13 @@
 	return result
 }
 
-// readResult reads what a gate says came of the call, and takes it off the answer.
+// readResult reads what a gate says came of the call. What it says itself is taken off the answer when that is passed on.
 func readResult(response *exchange.Response) *calls.Result {
 	result, err := calls.ParseResult(response.Header.Get(calls.HopResult))
 	if err != nil {
 		return &calls.Result{Fate: calls.Unknown, Reason: calls.ReasonBroken, Detail: "the answer does not come from a gate: " + err.Error()}
 	}
 	if result.Fate == calls.Answered {
-		response.Header = calls.EndToEnd(response.Header)
 		result.Response = response
 	}
 	return result
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -104,13 +104,18 @@
 	if t.late && t.refusals >= refusalsLate {
 		return nil
 	}
-	index := placement.Choose(t.candidates(servers), t.route.Settings.Objective, t.ingress.options.Random, t.ingress.options.Now())
-	if index < 0 && !t.late && t.refusals > 0 {
+	server := t.best(servers)
+	if server == nil && !t.late && t.refusals > 0 {
 		t.beginLate()
-		if t.refusals < refusalsLate {
-			index = placement.Choose(t.candidates(servers), t.route.Settings.Objective, t.ingress.options.Random, t.ingress.options.Now())
-		}
+		server = t.best(servers)
 	}
+	return server
+}
+
+// best returns the backend server at which the answer is expected first, nil when all were tried.
+func (t *trip) best(servers []*routing.Server) *routing.Server {
+	options := &t.ingress.options
+	index := placement.Choose(t.candidates(servers), t.route.Settings.Objective, options.Random, options.Now())
 	if index < 0 {
 		return nil
 	}
