Remove dead voters from an open group; let a removed instance join again

A successor that caught up before its forerunner was found dead (15 election timeouts) became a fourth voter, and a dead voter left only when the next newcomer came. The next loss left 2 of 4 voters. Change: an open group removes a dead voter by itself while three others live, and dead learners always; dead means 5 election timeouts (2 s), since a member that was only cut off now asks to join again with its folder and identity after hearing no leader for as long. Re-adding an identity is safe: its folder is whole and its term and vote are kept, so that what it promised still holds.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -9,8 +9,13 @@
 	"samphireflow/internal/raft"
 )
 
-// joinInterval is the time between two rounds of questions of an instance that has no group.
-const joinInterval = 200 * time.Millisecond
+const (
+	// joinInterval is the time between two rounds of questions of an instance that has no group.
+	joinInterval = 200 * time.Millisecond
+	// astrayTimeouts is how many election timeouts a member of an open group hears no leader before it asks whether it
+	// is one still: as many as a leader waits before it may remove it.
+	astrayTimeouts = deadTimeouts
+)
 
 // joiner is an instance with a blank folder that has asked this leader to join.
 type joiner struct {
@@ -68,26 +73,27 @@
 	r.storageError = r.log.SaveIdentity(r.identity)
 }
 
-// joinLoop asks the other instances until this one has a group.
+// joinLoop asks the other instances until this one has a group. In an open group it goes on for life: a member that
+// was cut off may have been removed, which nobody could tell it. Its folder is whole and keeps its identity, so that it
+// joins as a learner that has most of the log already; a leader that still has it as a member ignores the question.
 func (r *Replica) joinLoop(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	addrs := map[string]bool{}
-	for _, member := range r.options.Members {
-		addrs[member.ControlAddr] = true
-	}
+	addAddrs(addrs, r.options.Members)
 	for _, addr := range r.options.Seeds {
 		addrs[addr] = true
 	}
-	for len(r.status.Load().Members) == 0 {
-		responses := r.askToJoin(ctx, addrs)
-		if err := r.call(ctx, func() { r.takeJoinAnswers(responses) }); err != nil {
-			return
-		}
-		for _, response := range responses {
-			for _, member := range response.Members {
-				addrs[member.ControlAddr] = true
+	for r.options.Open || len(r.status.Load().Members) == 0 {
+		if r.astray() {
+			responses := r.askToJoin(ctx, addrs)
+			if err := r.call(ctx, func() { r.takeJoinAnswers(responses) }); err != nil {
+				return
 			}
+			for _, response := range responses {
+				addAddrs(addrs, membersOf(response.Members))
+			}
+			addAddrs(addrs, r.status.Load().Members)
 		}
 		select {
 		case <-ctx.Done():
@@ -97,8 +103,22 @@
 	}
 }
 
+func addAddrs(addrs map[string]bool, members []Member) {
+	for _, member := range members {
+		addrs[member.ControlAddr] = true
+	}
+}
+
+// astray reports whether this instance has no group, or has heard no leader of its group for long.
+func (r *Replica) astray() bool {
+	status := r.Status()
+	patience := time.Duration(astrayTimeouts*r.electionTicks()) * r.options.TickInterval
+	return len(status.Members) == 0 || status.LastContact > patience
+}
+
 func (r *Replica) askToJoin(ctx context.Context, addrs map[string]bool) []*apiv1.JoinResponse {
-	request := &apiv1.JoinRequest{ClusterId: r.options.ClusterID, Member: r.self(), Founding: r.isFounder()}
+	founding := r.isFounder() && len(r.status.Load().Members) == 0
+	request := &apiv1.JoinRequest{ClusterId: r.options.ClusterID, Member: r.self(), Founding: founding}
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	var responses []*apiv1.JoinResponse
--- a/internal/replica/maintain.go
+++ b/internal/replica/maintain.go
@@ -8,9 +8,10 @@
 const (
 	// silentTimeouts is how many election timeouts a member must be silent before another folder may take its place.
 	silentTimeouts = 4
-	// deadTimeouts is the same before a new instance takes a voter's place: 6 s at the default timeout, longer than a
-	// restart takes.
-	deadTimeouts = 15
+	// deadTimeouts is the same before a member is removed for good or a new instance takes its place: 2 s at the
+	// default timeout. It is short because the group outlives no further loss until then; a member that comes back
+	// later joins again.
+	deadTimeouts = 5
 	// joinerTimeouts is the number of election timeouts for which a question to join stays valid.
 	joinerTimeouts = 4
 )
@@ -51,7 +52,8 @@
 		asking = append(asking, j.member)
 	}
 	sortMembers(asking)
-	next, due := nextMembership(r.node.Membership().GetMembers(), asking, r.mayJoin, leaderView{r.node, r.electionTicks()})
+	next, due := nextMembership(r.node.Membership().GetMembers(), asking, admission{r.options.Open, r.invited},
+		leaderView{r.node, r.electionTicks()})
 	if !due {
 		return
 	}
@@ -60,11 +62,6 @@
 	}
 }
 
-// mayJoin reports whether an instance of a new name may join the group.
-func (r *Replica) mayJoin(name string) bool {
-	return r.options.Open || r.invited[name]
-}
-
 // electionTicks is the shortest election timeout.
 func (r *Replica) electionTicks() uint64 {
 	if r.options.ElectionTicks > 0 {
--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -13,13 +13,32 @@
 	caughtUp(id string) bool
 }
 
+// minVoters is how many voters an open group keeps when it removes dead ones by itself: the least that outlives the
+// loss of one.
+const minVoters = 3
+
+// admission says which instances may join a group without an operator.
+type admission struct {
+	// open lets all join.
+	open bool
+	// invited holds the names that an operator has let in.
+	invited map[string]bool
+}
+
+func (a admission) mayJoin(name string) bool {
+	return a.open || a.invited[name]
+}
+
 // nextMembership decides on the next single change of the membership, if one is due.
 //
 // A blank folder of a known name takes the place of that name's old folder, once the old one is silent: it joins
 // as a learner, catches up, the old voter is removed and the learner gets its vote. A new name joins only when an
 // operator has invited it or the group is open. It takes the place of a voter that is dead, if there is one, so that the
 // quorum does not grow with each instance that is exchanged.
-func nextMembership(members []*apiv1.ReplicaMember, joiners []*apiv1.ReplicaMember, mayJoin func(name string) bool, view memberView) ([]*apiv1.ReplicaMember, bool) {
+//
+// An open group also removes dead members by themselves while minVoters others live: one that died just before its
+// successor got its vote would else weigh in the quorum for good. Who was only cut off asks to join again.
+func nextMembership(members []*apiv1.ReplicaMember, joiners []*apiv1.ReplicaMember, admitted admission, view memberView) ([]*apiv1.ReplicaMember, bool) {
 	for _, learner := range members {
 		if !learner.Learner || !view.caughtUp(learner.Id) {
 			continue
@@ -32,9 +51,12 @@
 		}
 		return promoted(members, learner.Id), true
 	}
+	if dead := removable(members, admitted, view); dead != nil {
+		return without(members, dead.Id), true
+	}
 	for _, asking := range joiners {
 		old := otherFolder(members, asking)
-		if find(members, asking.Id) != nil || (old == nil && !mayJoin(asking.Name)) {
+		if find(members, asking.Id) != nil || (old == nil && !admitted.mayJoin(asking.Name)) {
 			continue
 		}
 		if old != nil && !view.silent(old.Id) {
@@ -68,6 +90,26 @@
 	return nil
 }
 
+// removable returns a dead member that an open group does without.
+func removable(members []*apiv1.ReplicaMember, admitted admission, view memberView) *apiv1.ReplicaMember {
+	if !admitted.open {
+		return nil
+	}
+	live := 0
+	for _, member := range members {
+		if member.Learner && view.dead(member.Id) {
+			return member
+		}
+		if !member.Learner && !view.dead(member.Id) {
+			live++
+		}
+	}
+	if live < minVoters {
+		return nil
+	}
+	return deadVoter(members, view)
+}
+
 // staleLearner returns a learner of the same name whose folder was lost before it had caught up.
 func staleLearner(members []*apiv1.ReplicaMember, member *apiv1.ReplicaMember) *apiv1.ReplicaMember {
 	for _, other := range members {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -122,9 +122,9 @@
 	return nil
 }
 
-// startJoining lets an instance without a group ask for one.
+// startJoining lets an instance without a group ask for one, and one of an open group ask again once it is astray.
 func (r *Replica) startJoining() {
-	if r.formed() {
+	if r.formed() && !r.options.Open {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/test/control/group_test.go
+++ b/test/control/group_test.go
@@ -53,10 +53,20 @@
 	random    *rand.Rand
 	members   []replica.Member
 	instances []*instance
+	// open lets instances join without an operator.
+	open bool
 }
 
 func startGroup(t *testing.T, seed uint64, size int) *group {
-	g := &group{t: t, network: newNetwork(seed), random: rand.New(rand.NewPCG(seed, 2))}
+	return (&group{t: t, network: newNetwork(seed), random: rand.New(rand.NewPCG(seed, 2))}).form(size)
+}
+
+func startOpenGroup(t *testing.T, seed uint64, size int) *group {
+	return (&group{t: t, network: newNetwork(seed), random: rand.New(rand.NewPCG(seed, 2)), open: true}).form(size)
+}
+
+// form starts the first instances and waits for their group.
+func (g *group) form(size int) *group {
 	for i := 0; i < size; i++ {
 		name := fmt.Sprint("c", i)
 		g.members = append(g.members, replica.Member{ID: name, ControlAddr: name})
@@ -65,7 +75,7 @@
 	for _, i := range g.instances {
 		g.start(i)
 	}
-	t.Cleanup(g.close)
+	g.t.Cleanup(g.close)
 	g.awaitVoters()
 	return g
 }
@@ -75,7 +85,7 @@
 	opened, err := replica.Open(replica.Options{
 		ID: i.name, ClusterID: clusterID, Dir: "/data", Members: g.members, StateMachine: machine,
 		Transport: &transport{g.network, i.name}, Logger: zerolog.Nop(), FS: i.disk, TickInterval: tickInterval,
-		SnapshotEvery: snapshotEvery, RetainedEntries: retained, SegmentBytes: 4096, OwnAddr: i.name,
+		SnapshotEvery: snapshotEvery, RetainedEntries: retained, SegmentBytes: 4096, OwnAddr: i.name, Open: g.open,
 		Rand: rand.New(rand.NewPCG(g.random.Uint64(), 3)),
 	})
 	require.NoError(g.t, err)
