--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -38,6 +38,12 @@
 	return b.Bytes()
 }
 
+// Is reports whether data was packed, where it may also be an encoded message from before that: those begin with the tag
+// of a field, which is never one of the forms.
+func Is(data []byte) bool {
+	return len(data) > 0 && data[0] <= formDeflate
+}
+
 // Unpack returns what was packed.
 func Unpack(data []byte) ([]byte, error) {
 	if len(data) == 0 {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/packed"
 )
 
 // Machine applies commands in log order. Apply, Snapshot and Restore belong to one goroutine; View and Changed
@@ -173,11 +174,21 @@
 		AcceptedDocuments: m.documents.list(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(image)
-	return data, errors.Wrap(err, "encode state")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode state")
+	}
+	return packed.Pack(data), nil
 }
 
 // Restore replaces the whole state by a snapshot.
 func (m *Machine) Restore(data []byte) error {
+	if packed.Is(data) {
+		unpacked, err := packed.Unpack(data)
+		if err != nil {
+			return errors.Wrap(err, "unpack state")
+		}
+		data = unpacked
+	}
 	image := &apiv1.StateImage{}
 	if err := proto.Unmarshal(data, image); err != nil {
 		return errors.Wrap(err, "decode state")
