Ask pressed services for late answers at once

Change: for 300 ms after such a refusal calls of the service ask for a later answer at once; a gate with room still answers them in time. Then one call asks in time again. Seen red first: TestPressedServiceIsAskedForLateAnswers (without the change the second call asks in time).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,11 +20,13 @@
 	peers   *peers
 	budget  *budget
 	guard   *local.Guard
+	// pressure is by service.
+	pressure *pressure
 }
 
 // New returns an ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, peers: newPeers(options.Headers, options.Now), budget: newBudget(), guard: local.NewGuard()}
+	return &Ingress{options: options, peers: newPeers(options.Headers, options.Now), budget: newBudget(), guard: local.NewGuard(), pressure: newPressure()}
 }
 
 // ServeHTTP carries one call.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -175,6 +175,31 @@
 	require.Greater(t, patiences[len(patiences)-1], 300*time.Millisecond)
 }
 
+// Load pattern: overload that lasts. Only the first call asks for an answer in time, until pressedTime has passed; the
+// others ask for a later one at once, and are refused after fewer questions.
+func TestPressedServiceIsAskedForLateAnswers(t *testing.T) {
+	var patiences []time.Duration
+	r := newRig(t, func(_ *calls.Call, _ string, patience time.Time) *calls.Result {
+		patiences = append(patiences, time.Until(patience))
+		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull, RetryAfter: 120 * time.Millisecond}
+	})
+	now := time.Now()
+	r.ingress.options.Now = func() time.Time { return now }
+	const inTime = 300 * time.Millisecond
+	r.call("GET", "/lookup/", "")
+	require.Less(t, patiences[0], inTime)
+	require.Len(t, patiences, refusalsInTime+refusalsLate)
+
+	patiences = nil
+	r.call("GET", "/lookup/", "")
+	require.Greater(t, patiences[0], inTime)
+	require.Len(t, patiences, refusalsLate)
+
+	patiences, now = nil, now.Add(pressedTime)
+	r.call("GET", "/lookup/", "")
+	require.Less(t, patiences[0], inTime, "it is asked again whether there is room")
+}
+
 func TestRefusalsOfTheNodeItself(t *testing.T) {
 	r := newRig(t, func(*calls.Call, string, time.Time) *calls.Result { return answered(200, "") })
 	require.Equal(t, http.StatusNotFound, r.call("GET", "/other/", "").Code)
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -70,6 +70,7 @@
 	t.config = service.Config
 	servers := t.ingress.drawVersion(service)
 	t.tried = map[string]bool{}
+	t.late = t.ingress.pressure.pressed(t.service, t.arrived)
 	t.ingress.budget.first(t.service, t.arrived)
 	ctx, cancel := context.WithDeadline(ctx, t.call.Deadline)
 	defer cancel()
@@ -243,6 +244,9 @@
 	switch result.Reason {
 	case calls.ReasonFull:
 		t.refusals++
+		if !t.late {
+			t.ingress.pressure.refused(t.service, t.ingress.options.Now())
+		}
 		if t.retryAfter == 0 || result.RetryAfter < t.retryAfter {
 			t.retryAfter = result.RetryAfter
 		}
