--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -179,11 +179,11 @@
 // others ask for a later one at once, and are refused after fewer questions.
 func TestPressedServiceIsAskedForLateAnswers(t *testing.T) {
 	var patiences []time.Duration
+	now := time.Now()
 	r := newRig(t, func(_ *calls.Call, _ string, patience time.Time) *calls.Result {
-		patiences = append(patiences, time.Until(patience))
+		patiences = append(patiences, patience.Sub(now))
 		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull, RetryAfter: 120 * time.Millisecond}
 	})
-	now := time.Now()
 	r.ingress.options.Now = func() time.Time { return now }
 	const inTime = 300 * time.Millisecond
 	r.call("GET", "/lookup/", "")
