Ask for votes soon after a start

Change: the first timeout of a node is a quarter to three quarters of the shortest one; voters of a working leader refuse such a question as any other (TestMemberThatStartsLeavesTheLeader).

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -41,9 +41,16 @@
 		n.term, n.vote = last, ""
 	}
 	n.becomeFollower(n.term, "")
+	n.electionTimeout = n.firstTimeout()
 	return n
 }
 
+// firstTimeout is the time after a start until the node asks for votes: a group of which all members start at once has no
+// leader to wait for. The voters of a working leader refuse, as for any member that does not hear it.
+func (n *Node) firstTimeout() int {
+	return n.cfg.ElectionTicks/4 + n.cfg.Rand.IntN(n.cfg.ElectionTicks/2+1)
+}
+
 // ID returns the node's identity.
 func (n *Node) ID() string { return n.cfg.ID }
 
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -44,6 +44,42 @@
 	require.Equal(t, term, leader.node.Term())
 }
 
+// TestGroupThatStartsAtOnceElectsSoon starts groups of which no member has run before the others.
+func TestGroupThatStartsAtOnceElectsSoon(t *testing.T) {
+	const ticks = 20
+	inTime := 0
+	for seed := uint64(1); seed <= 20; seed++ {
+		c := newCluster(t, seed, 3, 0, Config{ElectionTicks: ticks, HeartbeatTicks: ticks / 4})
+		for range ticks {
+			c.round(nil)
+		}
+		for _, m := range c.members {
+			if m.node.Role() == Leader {
+				inTime++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, inTime, 18, "within the shortest election timeout, but for split votes")
+}
+
+// TestMemberThatStartsLeavesTheLeader starts a member again and again beside a working leader.
+func TestMemberThatStartsLeavesTheLeader(t *testing.T) {
+	c, leader := startGroup(t, 3, 0)
+	term := leader.node.Term()
+	for _, m := range c.members {
+		if m == leader {
+			continue
+		}
+		m.down = true
+		c.start(m)
+		for range 3 * DefaultElectionTicks {
+			c.round(nil)
+		}
+		require.Equal(t, Leader, leader.node.Role())
+		require.Equal(t, term, leader.node.Term())
+	}
+}
+
 func TestLeaderThatHearsNothingStepsDown(t *testing.T) {
 	c, leader := startGroup(t, 3, 0)
 	for i := 0; i <= 2*DefaultElectionTicks; i++ {
