Let calls wait for a late answer no longer than their objective once more

Change: patience for a late answer is the objective once more, half of what is left to the deadline at most. Tests: TestLateCallsDoNotQueueForLong (red before); the two tests of full gates compare patience with the call's own objective in place of 300 ms after the question, which is the same bound without the time the question takes.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -160,9 +160,10 @@
 // Load pattern: every gate is full. The call is offered to some for an answer in time, then to some for a late one, and
 // refused at once with the time after which there is room.
 func TestFullEverywhereIsRefusedAtOnce(t *testing.T) {
-	var patiences []time.Duration
-	r := newRig(t, func(_ *calls.Call, _ string, patience time.Time) *calls.Result {
-		patiences = append(patiences, time.Until(patience))
+	// beyond holds the patience of each question beyond the call's objective.
+	var beyond []time.Duration
+	r := newRig(t, func(c *calls.Call, _ string, patience time.Time) *calls.Result {
+		beyond = append(beyond, patience.Sub(c.Objective))
 		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull, RetryAfter: 120 * time.Millisecond}
 	})
 	began := time.Now()
@@ -170,34 +171,47 @@
 	require.Equal(t, http.StatusServiceUnavailable, answer.Code)
 	require.Equal(t, "0.120", answer.Header().Get("Retry-After"))
 	require.Less(t, time.Since(began), 100*time.Millisecond)
-	require.LessOrEqual(t, len(patiences), refusalsInTime+refusalsLate)
-	require.Less(t, patiences[0], 300*time.Millisecond)
-	require.Greater(t, patiences[len(patiences)-1], 300*time.Millisecond)
+	require.LessOrEqual(t, len(beyond), refusalsInTime+refusalsLate)
+	require.Negative(t, beyond[0])
+	require.Positive(t, beyond[len(beyond)-1])
 }
 
 // Load pattern: overload that lasts. Only the first call asks for an answer in time, until pressedTime has passed; the
 // others ask for a later one at once, and are refused after fewer questions.
 func TestPressedServiceIsAskedForLateAnswers(t *testing.T) {
-	var patiences []time.Duration
+	var beyond []time.Duration
 	now := time.Now()
-	r := newRig(t, func(_ *calls.Call, _ string, patience time.Time) *calls.Result {
-		patiences = append(patiences, patience.Sub(now))
+	r := newRig(t, func(c *calls.Call, _ string, patience time.Time) *calls.Result {
+		beyond = append(beyond, patience.Sub(c.Objective))
 		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull, RetryAfter: 120 * time.Millisecond}
 	})
 	r.ingress.options.Now = func() time.Time { return now }
-	const inTime = 300 * time.Millisecond
 	r.call("GET", "/lookup/", "")
-	require.Less(t, patiences[0], inTime)
-	require.Len(t, patiences, refusalsInTime+refusalsLate)
+	require.Negative(t, beyond[0])
+	require.Len(t, beyond, refusalsInTime+refusalsLate)
 
-	patiences = nil
+	beyond = nil
 	r.call("GET", "/lookup/", "")
-	require.Greater(t, patiences[0], inTime)
-	require.Len(t, patiences, refusalsLate)
+	require.GreaterOrEqual(t, beyond[0], time.Duration(0))
+	require.Len(t, beyond, refusalsLate)
+
+	beyond, now = nil, now.Add(pressedTime)
+	r.call("GET", "/lookup/", "")
+	require.Negative(t, beyond[0], "it is asked again whether there is room")
+}
 
-	patiences, now = nil, now.Add(pressedTime)
+// Load pattern: overload that lasts. A call that waits for a late answer does so for its objective at most, however far its
+// deadline is: what queues at the gates is what every other call waits for.
+func TestLateCallsDoNotQueueForLong(t *testing.T) {
+	var longest time.Duration
+	now := time.Now()
+	r := newRig(t, func(_ *calls.Call, _ string, patience time.Time) *calls.Result {
+		longest = max(longest, patience.Sub(now))
+		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull, RetryAfter: 120 * time.Millisecond}
+	})
+	r.ingress.options.Now = func() time.Time { return now }
 	r.call("GET", "/lookup/", "")
-	require.Less(t, patiences[0], inTime, "it is asked again whether there is room")
+	require.LessOrEqual(t, longest, 300*time.Millisecond)
 }
 
 func TestRefusalsOfTheNodeItself(t *testing.T) {
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -22,8 +22,10 @@
 	// refusalsLate is the number of gates that may then refuse it. The first of them lets in a third to a half of the calls,
 	// the second one in six.
 	refusalsLate = 2
-	// latePart is the part of the time left to the deadline for which a call that misses its objective may still wait.
-	// A caller that is refused by then can come back within its own deadline.
+	// latePart is the part of the time left to the deadline for which a call that misses its objective may still wait, up
+	// to its objective once more. A caller that is refused by then can come back within its own deadline. Longer queues
+	// serve no more calls; at gates whose backend servers are called by others' backend servers they hold those calls up
+	// too, whose own callers keep their slots meanwhile, and an overload of a few seconds then never ended.
 	latePart = 0.5
 	// objectiveMargin is the part of the objective that is kept free when a call waits: the time of a call at the backend
 	// server is spread widely around its mean.
@@ -150,7 +152,7 @@
 		return earlier(t.call.Objective.Add(-margin), t.call.Deadline)
 	}
 	now := t.ingress.options.Now()
-	return now.Add(time.Duration(latePart * float64(t.call.Deadline.Sub(now))))
+	return now.Add(min(t.route.Settings.Objective, time.Duration(latePart*float64(t.call.Deadline.Sub(now)))))
 }
 
 func earlier(a, b time.Time) time.Time {
