--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -36,6 +36,6 @@
 		moveCommands(s),
 		instancesCommand(s), servicesCommand(s), statusCommand(s),
 		nodeCommands(s),
-		controlMembersCommands(s), dataCommands(s),
+		controlMembersCommands(s), dataCommands(s), logsCommands(s),
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"samphireflow/internal/calls"
 	"samphireflow/internal/move/local"
 	"samphireflow/internal/routing"
@@ -36,12 +38,12 @@
 	table := i.options.Table()
 	route, bad := i.route(table, r)
 	if bad != nil {
-		i.refuse(w, r, &trip{call: &calls.Call{ID: id}}, bad)
+		i.refuse(w, r, &trip{table: table, call: &calls.Call{ID: id}}, bad)
 		return
 	}
 	c, bad := i.read(table, route, r, arrived)
 	if bad != nil {
-		i.refuse(w, r, &trip{call: &calls.Call{ID: id, Route: route.Config.Name}}, bad)
+		i.refuse(w, r, &trip{table: table, call: &calls.Call{ID: id, Route: route.Config.Name}}, bad)
 		return
 	}
 	t := &trip{ingress: i, table: table, route: route, call: c, arrived: arrived, service: drawService(route, i.options.Random)}
@@ -55,6 +57,9 @@
 		i.refuse(w, r, t, bad)
 		return
 	}
+	if answer.Status >= http.StatusInternalServerError {
+		i.event(r, t).Int("status", answer.Status).Msg("failure of the backend server passed on")
+	}
 	calls.WriteAnswer(w, answer)
 }
 
@@ -130,12 +135,16 @@
 
 // refuse gives an answer of the system's own and logs why, with the attempts that were made.
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, t *trip, bad *refusal) {
+	i.event(r, t).Int("status", bad.status).Dur("retry_after_ms", bad.retryAfter).Str("reason", bad.message).Msg("call refused or failed")
+	bad.write(w)
+}
+
+// event begins the log line of a call that was not served.
+func (i *Ingress) event(r *http.Request, t *trip) *zerolog.Event {
 	event := i.options.Logger.Info().Str("request_id", t.call.ID).Str("route", t.call.Route).Str("service", t.service).
-		Str("peer", r.RemoteAddr).Str("method", r.Method).Str("host", r.Host).Str("target", r.RequestURI).
-		Int("status", bad.status).Dur("retry_after_ms", bad.retryAfter).Str("reason", bad.message)
+		Str("peer", r.RemoteAddr).Str("method", r.Method).Str("host", r.Host).Str("target", r.RequestURI)
 	if t.table != nil {
 		event = event.Uint64("version", t.table.Snapshot.Version).Bool("late", t.late).Array("attempts", attempts(t.history))
 	}
-	event.Msg("call refused or failed")
-	bad.write(w)
+	return event
 }
