Ask only the gate that refused in time a second time

Cause: read again: when no gate was left, a call forgot all that it had tried, also backend servers that had refused it themselves. Only the gate that refused an answer in time is worth a second question.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -214,6 +214,23 @@
 	require.LessOrEqual(t, longest, 300*time.Millisecond)
 }
 
+// Load pattern: a service has few backend servers left, and those that cannot be reached stay so. Each is tried once, and
+// the only one with a full queue is asked for a late answer too.
+func TestFewServersAreAskedOnceEach(t *testing.T) {
+	r := newRig(t, func(_ *calls.Call, instance string, _ time.Time) *calls.Result {
+		if instance == "a" {
+			return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonFull}
+		}
+		return &calls.Result{Fate: calls.NotRun, Reason: calls.ReasonUnreachable}
+	})
+	require.Equal(t, http.StatusServiceUnavailable, r.call("GET", "/lookup/", "").Code)
+	counts := map[string]int{}
+	for _, instance := range r.sent {
+		counts[instance]++
+	}
+	require.Equal(t, map[string]int{"a": 2, "b": 1, "c": 1}, counts)
+}
+
 func TestRefusalsOfTheNodeItself(t *testing.T) {
 	r := newRig(t, func(*calls.Call, string, time.Time) *calls.Result { return answered(200, "") })
 	require.Equal(t, http.StatusNotFound, r.call("GET", "/other/", "").Code)
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -51,8 +51,8 @@
 	refusals int
 	// late is set once the call asks for an answer after its objective too.
 	late bool
-	// again is set once it asks gates a second time.
-	again bool
+	// inTime is the backend server whose gate refused an answer in time; it is asked for a late one if no other is left.
+	inTime string
 	// retryAfter is the shortest time after which a gate would have let the call in.
 	retryAfter time.Duration
 	last       *calls.Result
@@ -114,10 +114,9 @@
 		return nil
 	}
 	server := t.best(servers)
-	if server == nil && t.late && !t.again {
-		// Those that refused an answer in time may let the call wait for a later one.
-		t.again = true
-		clear(t.tried)
+	if server == nil && t.inTime != "" {
+		delete(t.tried, t.inTime)
+		t.inTime = ""
 		server = t.best(servers)
 	}
 	return server
@@ -247,6 +246,7 @@
 	case calls.ReasonFull:
 		t.refusals++
 		if !t.late {
+			t.inTime = server.Info.Instance
 			t.ingress.pressure.refused(t.service, t.ingress.options.Now())
 		}
 		if t.retryAfter == 0 || result.RetryAfter < t.retryAfter {
