--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -159,8 +159,8 @@
 	return s.last
 }
 
-// seal decides whether an answer says that the connection closes: the caller wants it, or the server stops or has too many connections and no request
-// was taken after this one. Either way no further one is taken.
+// seal decides whether an answer says that the connection closes: the caller wants it, or the server stops or has too
+// many connections and no request was taken after this one. Either way no further one is taken.
 func (s *session) seal(a *answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/calls/body.go
+++ b/internal/calls/body.go
@@ -56,8 +56,9 @@
 	c.Body, c.HasBody, c.Stream, c.StreamLength = b.Whole, b.Has, b.Stream, b.Length
 }
 
-// WriteAnswer passes an answer on: its end-to-end header fields, status and body, and none of this side's own. If a streamed body fails midway the connection is broken off,
-// so that the receiver cannot take the answer for whole: it panics with http.ErrAbortHandler, as net/http wants it.
+// WriteAnswer passes an answer on: its end-to-end header fields, status and body, and none of this side's own. If a
+// streamed body fails midway the connection is broken off, so that the receiver cannot take the answer for whole: it
+// panics with http.ErrAbortHandler, as net/http wants it.
 func WriteAnswer(w http.ResponseWriter, response *exchange.Response) {
 	header, status := w.Header(), response.Status
 	header["Date"] = nil
--- a/internal/ingress/pressure.go
+++ b/internal/ingress/pressure.go
@@ -15,7 +15,8 @@
 // and the bytes of the whole call between failure domains. While a service is pressed, calls ask for a later answer at
 // once; a gate with room answers them in time all the same. Every pressedTime one call asks for an answer in time again.
 type pressure struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// until is by service, of which a configuration has few.
 	until map[string]time.Time
 }
 
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -115,6 +115,7 @@
 	}
 	server := t.best(servers)
 	if server == nil && t.inTime != "" {
+		// The gate had no room in time; it may have some for a late answer.
 		delete(t.tried, t.inTime)
 		t.inTime = ""
 		server = t.best(servers)
