Give members of a closed group as long as before until they count as dead

Since dead means 5 election timeouts, a frozen or cut-off voter of a closed group can lose its place to a caught-up learner after 0.2 s of the test's time, and nobody lets it in again: members of closed groups do not join by themselves.

--- a/internal/replica/maintain.go
+++ b/internal/replica/maintain.go
@@ -8,10 +8,13 @@
 const (
 	// silentTimeouts is how many election timeouts a member must be silent before another folder may take its place.
 	silentTimeouts = 4
-	// deadTimeouts is the same before a member is removed for good or a new instance takes its place: 2 s at the
-	// default timeout. It is short because the group outlives no further loss until then; a member that comes back
-	// later joins again.
+	// deadTimeouts is the same before a member of an open group is removed or a new instance takes its place: 2 s at an
+	// election timeout of 400 ms. It is short because the group outlives no further loss until then; a member that comes
+	// back later joins again.
 	deadTimeouts = 5
+	// closedDeadTimeouts is the same in a closed group, whose members do not come back by themselves: 6 s, longer than a
+	// restart takes.
+	closedDeadTimeouts = 15
 	// joinerTimeouts is the number of election timeouts for which a question to join stays valid.
 	joinerTimeouts = 4
 )
@@ -21,6 +24,8 @@
 	node *raft.Node
 	// timeout is the shortest election timeout in ticks.
 	timeout uint64
+	// open says that the group is.
+	open bool
 }
 
 func (v leaderView) silent(id string) bool {
@@ -30,7 +35,10 @@
 
 func (v leaderView) dead(id string) bool {
 	ticks, known := v.node.SilentTicks(id)
-	return known && ticks >= deadTimeouts*v.timeout
+	if v.open {
+		return known && ticks >= deadTimeouts*v.timeout
+	}
+	return known && ticks >= closedDeadTimeouts*v.timeout
 }
 
 func (v leaderView) caughtUp(id string) bool {
@@ -53,7 +61,7 @@
 	}
 	sortMembers(asking)
 	next, due := nextMembership(r.node.Membership().GetMembers(), asking, admission{r.options.Open, r.invited},
-		leaderView{r.node, r.electionTicks()})
+		leaderView{r.node, r.electionTicks(), r.options.Open})
 	if !due {
 		return
 	}
