--- a/internal/calls/call.go
+++ b/internal/calls/call.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"samphireflow/internal/exchange"
 )
 
 // Call is one call of a caller on its way to a backend server.
@@ -33,6 +35,23 @@
 	Deadline  time.Time
 }
 
+// Request returns the request that carries the call one hop further with the given header fields. The answer must repeat
+// the field that echo names.
+func (c *Call) Request(header http.Header, echo string) *exchange.Request {
+	return &exchange.Request{
+		Method:       c.Method,
+		Target:       c.Target,
+		Host:         c.Host,
+		Header:       header,
+		Body:         c.Body,
+		HasBody:      c.HasBody,
+		Stream:       c.Stream,
+		StreamLength: c.StreamLength,
+		EchoHeader:   echo,
+		Fresh:        !c.Idempotent,
+	}
+}
+
 // Repeatable reports whether the call could be sent again.
 func (c *Call) Repeatable() bool {
 	return c.Stream == nil
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -254,18 +254,7 @@
 	header := c.Header.Clone()
 	header.Set(names.DeadlineMs, strconv.FormatInt(max(c.Deadline.Sub(now).Milliseconds(), 1), 10))
 	header.Set(names.TargetServer, server.instance)
-	return &exchange.Request{
-		Method:       c.Method,
-		Target:       c.Target,
-		Host:         c.Host,
-		Header:       header,
-		Body:         c.Body,
-		HasBody:      c.HasBody,
-		Stream:       c.Stream,
-		StreamLength: c.StreamLength,
-		EchoHeader:   names.RequestID,
-		Fresh:        !c.Idempotent,
-	}
+	return c.Request(header, names.RequestID)
 }
 
 // failed tells what an exchange without an answer means for the call.
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -49,18 +49,7 @@
 		Deadline:   c.Deadline.Sub(now),
 		Patience:   patience.Sub(now),
 	}.Write(header)
-	return &exchange.Request{
-		Method:       c.Method,
-		Target:       c.Target,
-		Host:         c.Host,
-		Header:       header,
-		Body:         c.Body,
-		HasBody:      c.HasBody,
-		Stream:       c.Stream,
-		StreamLength: c.StreamLength,
-		EchoHeader:   p.headers.RequestID,
-		Fresh:        !c.Idempotent,
-	}
+	return c.Request(header, p.headers.RequestID)
 }
 
 // failedHop tells what an exchange with a gate without an answer means for the call.
