Hold one judge a move, chosen by its length

The driver kept two judges for a short move, one of them never asked, and chose between them at each report and decision. Both are a judge now, chosen once; the judge of short moves passes the failure domain over. Behaviour unchanged.

--- a/internal/move/brisk.go
+++ b/internal/move/brisk.go
@@ -79,8 +79,8 @@
 	return time.Duration(move.DeadlineUnixMs-move.StartedUnixMs)*time.Millisecond <= briskLength
 }
 
-// Observe takes in the outcomes of one version on one route.
-func (j *briskJudge) Observe(now time.Time, side Side, route string, counts Counts) {
+// Observe takes in the outcomes of one version on one route. Within seconds failure domains are not told apart.
+func (j *briskJudge) Observe(now time.Time, side Side, route, _ string, counts Counts) {
 	r := j.routes[route]
 	if r == nil {
 		r = &briskRoute{}
--- a/internal/move/brisk_test.go
+++ b/internal/move/brisk_test.go
@@ -56,7 +56,7 @@
 				failRate, slowRate = w.version(at, route, share)
 			}
 			result.all++
-			judge.Observe(now, side, fmt.Sprint(route), oneCall(random, failRate, slowRate))
+			judge.Observe(now, side, fmt.Sprint(route), "hobart", oneCall(random, failRate, slowRate))
 		}
 		decision := judge.Decide(now, move, situation)
 		if step := decision.Step; step != nil {
--- a/internal/move/driver.go
+++ b/internal/move/driver.go
@@ -17,11 +17,17 @@
 	running map[string]*running
 }
 
+// judge weighs the evidence on one move.
+type judge interface {
+	// Observe takes in the outcomes of one version on one route, from one failure domain.
+	Observe(now time.Time, side Side, route, domain string, counts Counts)
+	// Decide returns the next step of the move, or why there is none.
+	Decide(now time.Time, move *apiv1.Move, situation *Situation) Decision
+}
+
 // running is one active move with its judge.
 type running struct {
-	judge *Judge
-	// brisk judges the move in place of judge when it is short.
-	brisk    *briskJudge
+	judge    judge
 	proposed proposal
 	hold     string
 	// domains holds every failure domain that was seen alive since the judge started.
@@ -68,15 +74,6 @@
 	if r == nil || move.Service != outcome.Service {
 		return
 	}
-	if r.brisk != nil {
-		switch outcome.Version {
-		case move.ToVersion:
-			r.brisk.Observe(now, NewVersion, outcome.Route, countsOf(outcome))
-		case move.FromVersion:
-			r.brisk.Observe(now, OldVersion, outcome.Route, countsOf(outcome))
-		}
-		return
-	}
 	switch outcome.Version {
 	case move.ToVersion:
 		r.judge.Observe(now, NewVersion, outcome.Route, outcome.FailureDomain, countsOf(outcome))
@@ -100,16 +97,13 @@
 func (d *Driver) stepOf(now time.Time, move *apiv1.Move, fleet Fleet) *apiv1.StepMove {
 	r := d.running[move.Id]
 	if r == nil {
-		r = &running{judge: NewJudge(move, fleet.Routes), domains: map[string]bool{}}
-		if isBrisk(move) {
-			r.brisk = newBriskJudge(now, move)
-		}
+		r = &running{judge: judgeOf(now, move, fleet), domains: map[string]bool{}}
 		d.running[move.Id] = r
 	}
 	if r.proposed.revision == move.Revision && now.Sub(r.proposed.at) < stepPatience {
 		return nil
 	}
-	decision := r.decide(now, move, r.situation(move, fleet))
+	decision := r.judge.Decide(now, move, r.situation(move, fleet))
 	r.hold = decision.Hold
 	if decision.Step != nil {
 		r.proposed = proposal{revision: move.Revision, at: now}
@@ -117,11 +111,12 @@
 	return decision.Step
 }
 
-func (r *running) decide(now time.Time, move *apiv1.Move, situation *Situation) Decision {
-	if r.brisk != nil {
-		return r.brisk.Decide(now, move, situation)
+// judgeOf returns the judge for the length of a move.
+func judgeOf(now time.Time, move *apiv1.Move, fleet Fleet) judge {
+	if isBrisk(move) {
+		return newBriskJudge(now, move)
 	}
-	return r.judge.Decide(now, move, situation)
+	return NewJudge(move, fleet.Routes)
 }
 
 // Hold says why a move does not go on at present; empty when it does.
