--- a/internal/control/assign_loop.go
+++ b/internal/control/assign_loop.go
@@ -6,6 +6,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/assign"
+	"samphireflow/internal/periodic"
 )
 
 // assignInterval is the time between looks at the agreed sets of nodes.
@@ -13,17 +14,10 @@
 
 // assignLoop keeps the agreed sets of nodes filled while this instance leads.
 func (s *Server) assignLoop(ctx context.Context) error {
-	ticker := time.NewTicker(assignInterval)
-	defer ticker.Stop()
 	var planner *assign.Planner
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			planner = s.planAssignments(ctx, planner, now)
-		}
-	}
+	return periodic.Run(ctx, assignInterval, func(now time.Time) {
+		planner = s.planAssignments(ctx, planner, now)
+	})
 }
 
 // planAssignments proposes what the planner wants and returns the planner, a new one when the lead was just taken.
--- a/internal/control/move_loop.go
+++ b/internal/control/move_loop.go
@@ -6,6 +6,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/move"
+	"samphireflow/internal/periodic"
 	"samphireflow/internal/state"
 )
 
@@ -20,16 +21,9 @@
 // a new leader goes on where the last one stopped; only the leader proposes its decisions.
 func (s *Server) moveLoop(ctx context.Context) error {
 	driver := move.NewDriver()
-	ticker := time.NewTicker(judgeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.judgeMoves(ctx, driver, s.now())
-		}
-	}
+	return periodic.Run(ctx, judgeInterval, func(time.Time) {
+		s.judgeMoves(ctx, driver, s.now())
+	})
 }
 
 func (s *Server) judgeMoves(ctx context.Context, driver *move.Driver, now time.Time) {
--- a/internal/distribution/reaper.go
+++ b/internal/distribution/reaper.go
@@ -11,6 +11,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
+	"samphireflow/internal/periodic"
 )
 
 const (
@@ -44,22 +45,15 @@
 
 // Run checks the leases until the context ends.
 func (r *Reaper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reapInterval)
-	defer ticker.Stop()
 	var running sync.WaitGroup
 	defer running.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			for _, info := range r.hub.Expire(now) {
-				if r.begin(info.Instance) {
-					running.Go(func() { r.settle(ctx, info) })
-				}
+	return periodic.Run(ctx, reapInterval, func(now time.Time) {
+		for _, info := range r.hub.Expire(now) {
+			if r.begin(info.Instance) {
+				running.Go(func() { r.settle(ctx, info) })
 			}
 		}
-	}
+	})
 }
 
 func (r *Reaper) begin(instance string) bool {
