--- a/internal/replica/maintain.go
+++ b/internal/replica/maintain.go
@@ -29,16 +29,20 @@
 }
 
 func (v leaderView) silent(id string) bool {
-	ticks, known := v.node.SilentTicks(id)
-	return known && ticks >= silentTimeouts*v.timeout
+	return v.unheard(id, silentTimeouts)
 }
 
 func (v leaderView) dead(id string) bool {
-	ticks, known := v.node.SilentTicks(id)
 	if v.open {
-		return known && ticks >= deadTimeouts*v.timeout
+		return v.unheard(id, deadTimeouts)
 	}
-	return known && ticks >= closedDeadTimeouts*v.timeout
+	return v.unheard(id, closedDeadTimeouts)
+}
+
+// unheard reports whether a member was not heard for a number of election timeouts.
+func (v leaderView) unheard(id string, timeouts uint64) bool {
+	ticks, known := v.node.SilentTicks(id)
+	return known && ticks >= timeouts*v.timeout
 }
 
 func (v leaderView) caughtUp(id string) bool {
