--- a/cmd/samphireflowd/reload.go
+++ b/cmd/samphireflowd/reload.go
@@ -29,7 +29,6 @@
 	}
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	known := *current
 	seen := modified(r.path)
 	for {
 		select {
@@ -37,17 +36,18 @@
 			return
 		case <-r.signals:
 		case <-ticker.C:
-			if now := modified(r.path); now == seen {
+			if modified(r.path) == seen {
 				continue
 			}
 		}
+		// Looked at before the file is read: a change in between is seen at the next look.
 		seen = modified(r.path)
 		next, err := platform.Load(r.path)
 		if err != nil {
 			logger.Error().Err(err).Msg("changed settings cannot be used; the old ones stay in force")
 			continue
 		}
-		apply(&known, &next.Settings, d, logger)
+		apply(current, &next.Settings, d, logger)
 	}
 }
 
@@ -61,13 +61,13 @@
 }
 
 // apply puts in force what can change in a running process, and names what cannot.
-func apply(known, next *settings.Settings, d *daemon.Daemon, logger zerolog.Logger) {
+func apply(current, next *settings.Settings, d *daemon.Daemon, logger zerolog.Logger) {
 	d.LearnControl(next.ControlSeeds)
 	fixed := *next
-	fixed.ControlSeeds = known.ControlSeeds
-	fixed.Found = known.Found
+	fixed.ControlSeeds = current.ControlSeeds
+	fixed.Found = current.Found
 	event := logger.Info().Strs("control_seeds", next.ControlSeeds)
-	if !reflect.DeepEqual(fixed, *known) {
+	if !reflect.DeepEqual(fixed, *current) {
 		event = event.Bool("restart_needed", true)
 	}
 	event.Msg("settings read again")
