--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -5,7 +5,7 @@
 	"time"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/netfault"
+	"samphireflow/internal/h2c"
 )
 
 const (
@@ -16,6 +16,8 @@
 	// pingAfter is the silence after which a connection is tested, and pingTimeout the time in which it must answer.
 	pingAfter   = 2 * time.Second
 	pingTimeout = time.Second
+	// idleTime is the time that a connection without requests is kept, longer than any pause between renewals.
+	idleTime = time.Minute
 )
 
 // Client reaches one control instance, relay or node.
@@ -26,18 +28,10 @@
 	Relay        apiv1.Relay
 }
 
-// NewHTTPClient returns the HTTP client that a process shares for all Clients. It speaks HTTP/2 without TLS: the
-// watch, the renewals and the reports to one process share a connection, and headers that repeat cost a byte each.
+// NewHTTPClient returns the HTTP client that a process shares for all Clients: the watch, the renewals and the reports to
+// one process share a connection.
 func NewHTTPClient() *http.Client {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		DialContext:        netfault.Dialer(dialTimeout),
-		Protocols:          protocols,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		IdleConnTimeout:    time.Minute,
-		DisableCompression: true,
-	}}
+	return h2c.NewClient(h2c.Options{DialTimeout: dialTimeout, PingAfter: pingAfter, PingTimeout: pingTimeout, IdleTime: idleTime})
 }
 
 // ServerProtocols returns what a server that Clients reach must speak; operators' tools use HTTP/1.
--- a/internal/replica/peer_client.go
+++ b/internal/replica/peer_client.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"samphireflow/internal/netfault"
+	"samphireflow/internal/h2c"
 )
 
 const (
@@ -14,15 +14,7 @@
 	pingTimeout = 500 * time.Millisecond
 )
 
-// newPeerClient returns the HTTP client for messages to other members. It speaks HTTP/2 without TLS: the headers, which
-// repeat with each heartbeat, then cost a few bytes.
+// newPeerClient returns the HTTP client for messages to other members.
 func newPeerClient(timeout time.Duration) *http.Client {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		DialContext:        netfault.Dialer(timeout),
-		Protocols:          protocols,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		DisableCompression: true,
-	}}
+	return h2c.NewClient(h2c.Options{DialTimeout: timeout, PingAfter: pingAfter, PingTimeout: pingTimeout})
 }
