--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -48,13 +48,8 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
 	g := &gated{
-		gate: gate.New(gate.Options{Local: n.Beside, Headers: headers, Recorder: n.Recorder(), Logger: logger, Now: time.Now}),
-		watch: suspect.NewWatch(suspect.Options{
-			Peers:  func() []string { return peerAddrs(n, s.ControlAddr) },
-			Client: client,
-			Logger: logger,
-			Now:    time.Now,
-		}),
+		gate:  gate.New(gate.Options{Local: n.Beside, Headers: headers, Recorder: n.Recorder(), Logger: logger, Now: time.Now}),
+		watch: newWatch(s, n, client, logger),
 	}
 	g.service = proxy.NewPeerService(n, g.watch)
 	g.ingress = ingress.New(ingress.Options{
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -38,6 +38,16 @@
 	service *proxy.PeerService
 }
 
+// newWatch returns the watch for requests that crash backend servers; it tells the other nodes by the client.
+func newWatch(s *settings.Settings, n *node.Node, client *http.Client, logger zerolog.Logger) *suspect.Watch {
+	return suspect.NewWatch(suspect.Options{
+		Peers:  func() []string { return peerAddrs(n, s.ControlAddr) },
+		Client: client,
+		Logger: logger,
+		Now:    time.Now,
+	})
+}
+
 func newTraffic(s *settings.Settings, n *node.Node, logger zerolog.Logger) *traffic {
 	logger = logger.With().Str("role", "node").Logger()
 	started := time.Now()
@@ -47,12 +57,7 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	})}
 	configuration := newConfigurationReader(n)
-	watch := suspect.NewWatch(suspect.Options{
-		Peers:  func() []string { return peerAddrs(n, s.ControlAddr) },
-		Client: client,
-		Logger: logger,
-		Now:    time.Now,
-	})
+	watch := newWatch(s, n, client, logger)
 	return &traffic{
 		configuration: configuration,
 
