Count all refusals of a gate, and derive them from the attempts

Both are derived from the attempts now; the only count left is that of late refusals, which ends the questions. That one question is asked in time follows from the code, in place of a constant of 1 and a count to compare with it. Which gates are asked, and when, is unchanged.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -15,6 +15,17 @@
 // attempts are written as a list of objects.
 type attempts []attempt
 
+// refusals counts those that were refused by a gate or its backend server.
+func (list attempts) refusals() int {
+	count := 0
+	for _, one := range list {
+		if one.result.Fate == calls.NotRun && (one.result.Reason == calls.ReasonFull || one.result.Reason == calls.ReasonShed) {
+			count++
+		}
+	}
+	return count
+}
+
 // MarshalZerologArray writes the attempts in their order.
 func (list attempts) MarshalZerologArray(array *zerolog.Array) {
 	for _, one := range list {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -144,7 +144,7 @@
 	event := i.options.Logger.Info().Str("request_id", t.call.ID).Str("route", t.call.Route).Str("service", t.service).
 		Str("peer", r.RemoteAddr).Str("method", r.Method).Str("host", r.Host).Str("target", r.RequestURI)
 	if t.table != nil {
-		event = event.Uint64("version", t.table.Snapshot.Version).Bool("late", t.late).Array("attempts", attempts(t.history))
+		event = event.Uint64("version", t.table.Snapshot.Version).Bool("late", t.late).Array("attempts", t.history)
 	}
 	return event
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -171,7 +171,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, answer.Code)
 	require.Equal(t, "0.120", answer.Header().Get("Retry-After"))
 	require.Less(t, time.Since(began), 100*time.Millisecond)
-	require.LessOrEqual(t, len(beyond), refusalsInTime+refusalsLate)
+	require.LessOrEqual(t, len(beyond), 1+refusalsLate)
 	require.Negative(t, beyond[0])
 	require.Positive(t, beyond[len(beyond)-1])
 }
@@ -188,7 +188,7 @@
 	r.ingress.options.Now = func() time.Time { return now }
 	r.call("GET", "/lookup/", "")
 	require.Negative(t, beyond[0])
-	require.Len(t, beyond, refusalsInTime+refusalsLate)
+	require.Len(t, beyond, 1+refusalsLate)
 
 	beyond = nil
 	r.call("GET", "/lookup/", "")
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -54,5 +54,5 @@
 	m.calls.WithLabelValues(strconv.Itoa(status), by).Inc()
 	m.duration.Observe(took.Seconds())
 	m.sends.Add(float64(t.sends))
-	m.refusals.Add(float64(t.refusals))
+	m.refusals.Add(float64(t.history.refusals()))
 }
--- a/internal/ingress/trip.go
+++ b/internal/ingress/trip.go
@@ -15,12 +15,10 @@
 )
 
 const (
-	// refusalsInTime is the number of gates that may refuse to answer a call by its objective before it asks for a later
-	// answer too. Gates of one service fill together: on the days of high load one call in a hundred that the first gate
-	// refused was let in in time by a second one, on the others one in ten.
-	refusalsInTime = 1
-	// refusalsLate is the number of gates that may then refuse it. The first of them lets in a third to a half of the calls,
-	// the second one in six.
+	// refusalsLate is the number of gates that may refuse a call which asks for a late answer too. The first of them lets in
+	// a third to a half of the calls, the second one in six. Before them one gate is asked for an answer in time: gates of
+	// one service fill together, and on the days of high load one call in a hundred that the first gate refused was let in
+	// in time by a second one, on the others one in ten.
 	refusalsLate = 2
 	// latePart is the part of the time left to the deadline for which a call that misses its objective may still wait, up
 	// to its objective once more. A caller that is refused by then can come back within its own deadline. Longer queues
@@ -46,18 +44,18 @@
 	config  *apiv1.ServiceConfig
 
 	tried map[string]bool
-	// sends counts the backend servers that the call was sent to and may have run on, refusals the gates that refused.
-	sends    int
-	refusals int
-	// late is set once the call asks for an answer after its objective too.
-	late bool
+	// sends counts the backend servers that the call was sent to and may have run on.
+	sends int
+	// late is set once the call asks for an answer after its objective too; lateRefusals counts the refusals since then.
+	late         bool
+	lateRefusals int
 	// inTime is the backend server whose gate refused an answer in time; it is asked for a late one if no other is left.
 	inTime string
 	// retryAfter is the shortest time after which a gate would have let the call in.
 	retryAfter time.Duration
 	last       *calls.Result
 	// history holds what came of each attempt, for the log.
-	history []attempt
+	history attempts
 }
 
 // run carries the call until there is an answer or none is to be had.
@@ -106,11 +104,7 @@
 
 // choose returns the backend server to try next, nil when the call is to be refused.
 func (t *trip) choose(servers []*routing.Server) *routing.Server {
-	if !t.late && t.refusals >= refusalsInTime {
-		t.late = true
-		t.refusals = 0
-	}
-	if t.late && t.refusals >= refusalsLate {
+	if t.lateRefusals >= refusalsLate {
 		return nil
 	}
 	server := t.best(servers)
@@ -184,7 +178,7 @@
 		t.ingress.options.Logger.Info().Str("request_id", t.call.ID).Str("route", t.call.Route).Str("service", t.service).
 			Str("backend_server", info.Instance).Str("node", info.Node).Uint64("version", t.table.Snapshot.Version).
 			Str("fate", string(result.Fate)).Str("reason", string(result.Reason)).Str("detail", result.Detail).
-			Int("sends", t.sends).Int("refusals", t.refusals).Bool("late", t.late).Interface("load", result.Load).
+			Int("sends", t.sends).Int("refusals", t.history.refusals()).Bool("late", t.late).Interface("load", result.Load).
 			Dur("retry_after_ms", result.RetryAfter).Dur("left_ms", t.call.Deadline.Sub(t.ingress.options.Now())).
 			Msg("attempt without an answer")
 	}
@@ -245,23 +239,31 @@
 	}
 	switch result.Reason {
 	case calls.ReasonFull:
-		t.refusals++
 		if !t.late {
 			t.inTime = server.Info.Instance
 			t.ingress.pressure.refused(t.service, t.ingress.options.Now())
 		}
+		t.countRefusal()
 		if t.retryAfter == 0 || result.RetryAfter < t.retryAfter {
 			t.retryAfter = result.RetryAfter
 		}
 	case calls.ReasonShed:
-		t.refusals++
 		if !t.mayRepeat() || !t.ingress.budget.repeat(t.service, t.ingress.options.Now()) {
 			return t.refused()
 		}
+		t.countRefusal()
 	}
 	return nil
 }
 
+// countRefusal turns to asking for late answers, or counts a refusal of one.
+func (t *trip) countRefusal() {
+	if t.late {
+		t.lateRefusals++
+	}
+	t.late = true
+}
+
 // ended is the answer to a call whose context ended before it ran.
 func (t *trip) ended(ctx context.Context) *refusal {
 	if context.Cause(ctx) == context.DeadlineExceeded || t.mayHaveRun() {
