--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -114,7 +114,7 @@
 	for _, id := range []string{"539d1eb437dd8ae3", "0c05251f6dcf7165", "9bccde92ea1f48a3"} {
 		size = len(packer.Pack(hop.Fields{Target: "/bode925/" + id[:6], Host: "deye45.example", Header: http.Header{
 			"Accept": {"*/*"}, "Accept-Encoding": {"identity"}, "User-Agent": {"sdk-client/1.9.3"},
-			"X-Attempt-Id": {id}, "X-Caller-Service": {"dase72b"}, "Sf-Call": {"i-1b32980d72 fixa76c%2Fr-28icixt 1 1"}, "Sf-Times": {"99 217 74"},
+			"Samphireflow-Request-Id": {id}, "Samphireflow-Caller": {"dase72b"}, "Sf-Call": {"i-1b32980d72 fixa76c%2Fr-28icixt 1 1"}, "Sf-Times": {"99 217 74"},
 		}}))
 	}
 	require.Less(t, size, 70)
