Keep the ports of two tests from being taken by other processes

It closed a listener and let the server listen on that port again; another process can take the port in between, Run then ends with "address already in use" and the test waited for an announcement that never came. The test now passes its open listeners to the server, and fails at once if the server ends early.

test/platform chose its ports in the same way, on the range that the kernel hands out. It now uses ports below that range on its own loopback addresses, and reports a process that ends by itself at once. The checks and the time limits are unchanged.

--- a/internal/backendserver/run_test.go
+++ b/internal/backendserver/run_test.go
@@ -27,12 +27,11 @@
 	return &apiv1.AnnounceResponse{}, nil
 }
 
-func freeAddr(t *testing.T) string {
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return listener
 }
 
 // TestStopAnnouncesDrainingThenGone stops a server and checks the states that it announces to the node beside it.
@@ -42,7 +41,8 @@
 	nodeServer := httptest.NewServer(apiv1.NewMembershipServer(node))
 	defer nodeServer.Close()
 	cfg := testConfig()
-	cfg.Addr, cfg.AdminAddr = freeAddr(t), freeAddr(t)
+	calls, admin := listen(t), listen(t)
+	cfg.Addr, cfg.AdminAddr = calls.Addr().String(), admin.Addr().String()
 	cfg.NodeControlAddr = nodeServer.Listener.Addr().String()
 	cfg.DrainTimeout = time.Minute
 	server, err := New(cfg, zerolog.Nop())
@@ -50,8 +50,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan error, 1)
-	go func() { ended <- server.Run(ctx) }()
-	require.Equal(t, apiv1.ServerState_SERVER_STATE_READY, <-node.states)
+	go func() { ended <- server.serveOn(ctx, calls, admin) }()
+	select {
+	case state := <-node.states:
+		require.Equal(t, apiv1.ServerState_SERVER_STATE_READY, state)
+	case err := <-ended:
+		require.FailNow(t, "the server ended before it announced itself", "%v", err)
+	}
 	response, err := http.Get("http://" + cfg.Addr + "/rota/1")
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -83,8 +83,8 @@
 	return tracing.Handler(role, router)
 }
 
-// Run serves until the context ends, then drains. It returns once the calls in flight have finished or DrainTimeout has
-// passed.
+// Run listens on the configured addresses and serves until the context ends, then drains. It returns once the calls in
+// flight have finished or DrainTimeout has passed.
 func (s *Server) Run(ctx context.Context) error {
 	callListener, err := net.Listen("tcp", s.cfg.Addr)
 	if err != nil {
@@ -95,6 +95,12 @@
 		callListener.Close()
 		return errors.Wrap(err, "listen for admin")
 	}
+	return s.serveOn(ctx, callListener, adminListener)
+}
+
+// serveOn is Run on open listeners, which it closes.
+func (s *Server) serveOn(ctx context.Context, callListener, adminListener net.Listener) error {
+	var err error
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var tasks sync.WaitGroup
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -12,11 +12,13 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	// The test builds the daemon from these packages. The imports make go test's cache notice their changes.
@@ -36,33 +38,27 @@
 	t      *testing.T
 	binary string
 	dir    string
-	ports  [4]int
-	seeds  []string
-	client *http.Client
+	// ended is closed when a process ends before the test stops it.
+	ended     chan struct{}
+	endedOnce sync.Once
+	seeds     []string
+	client    *http.Client
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}}
+	d := &deployment{t: t, dir: t.TempDir(), ended: make(chan struct{}), client: &http.Client{Timeout: 5 * time.Second}}
 	d.binary = filepath.Join(d.dir, "samphireflowd")
 	build := exec.Command("go", "build", "-o", d.binary, "samphireflow/cmd/samphireflowd")
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, string(output))
-	for i := range d.ports {
-		d.ports[i] = freePort(t)
-	}
 	for i := 1; i <= 3; i++ {
-		d.seeds = append(d.seeds, net.JoinHostPort(ipOf(i), strconv.Itoa(d.ports[3])))
+		d.seeds = append(d.seeds, net.JoinHostPort(ipOf(i), strconv.Itoa(listenPorts[3])))
 	}
 	return d
 }
 
-// freePort returns a port that is free on all addresses.
-func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp", "0.0.0.0:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
-}
+// listenPorts are below the range that the kernel hands out, so that no other process is given one of them.
+var listenPorts = [4]int{20101, 20102, 20103, 20104}
 
 // ipOf returns the IP address of instance i. It depends on the process ID, so that concurrent test runs on one machine do
 // not collide.
@@ -72,7 +68,7 @@
 }
 
 func (d *deployment) addr(i, port int) string {
-	return net.JoinHostPort(ipOf(i), strconv.Itoa(d.ports[port]))
+	return net.JoinHostPort(ipOf(i), strconv.Itoa(listenPorts[port]))
 }
 
 // start runs one instance and stops it with SIGTERM at the end of the test; it must exit without an error.
@@ -104,13 +100,25 @@
 	process.Env = append(os.Environ(), "SAMPHIREFLOW_SETTINGS="+path)
 	process.Stdout, process.Stderr = logs, logs
 	require.NoError(d.t, process.Start())
-	d.t.Cleanup(func() { d.stop(process, logs.Name()) })
+	ended := make(chan error, 1)
+	var stopping atomic.Bool
+	go func() {
+		err := process.Wait()
+		ended <- err
+		if !stopping.Load() {
+			d.endedOnce.Do(func() { close(d.ended) })
+		}
+	}()
+	d.t.Cleanup(func() {
+		stopping.Store(true)
+		d.stop(process, ended, logs.Name())
+	})
 }
 
-func (d *deployment) stop(process *exec.Cmd, logs string) {
-	require.NoError(d.t, process.Process.Signal(syscall.SIGTERM))
-	ended := make(chan error, 1)
-	go func() { ended <- process.Wait() }()
+func (d *deployment) stop(process *exec.Cmd, ended <-chan error, logs string) {
+	if err := process.Process.Signal(syscall.SIGTERM); !errors.Is(err, os.ErrProcessDone) {
+		require.NoError(d.t, err)
+	}
 	select {
 	case err := <-ended:
 		if d.t.Failed() || err != nil {
@@ -146,7 +154,16 @@
 }
 
 func (d *deployment) eventually(what string, check func() bool) {
-	require.Eventually(d.t, check, eventTimeout, pollInterval, what)
+	timeout := time.After(eventTimeout)
+	for !check() {
+		select {
+		case <-d.ended:
+			require.FailNow(d.t, "a process ended by itself", what)
+		case <-timeout:
+			require.FailNow(d.t, "timed out", what)
+		case <-time.After(pollInterval):
+		}
+	}
 }
 
 // backend is a backend server as the platform has them: it stamps its responses and refuses requests that are addressed
