Log and measure how a configuration version reaches the watchers

Control instances now log for each version the time spent on building and encoding, the updates sent and when the first and the last of them left, and serve the same as metrics. Nodes log where a version came from, as a delta or whole, and its size. No decision changes.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -71,7 +71,6 @@
 	s := &Server{
 		options:            options,
 		members:            members,
-		snapshotBuilder:    newSnapshotBuilder(),
 		readBatcher:        newReadBatcher(options.Log.ReadIndex),
 		outcomes:           outcome.NewAggregator(""),
 		reportDeduplicator: distribution.NewReportDeduplicator(),
@@ -82,6 +81,7 @@
 		now: func() time.Time { return started.Add(time.Since(started)) },
 	}
 	s.watchServer = distribution.NewWatchServer(watchSource{s}, members)
+	s.snapshotBuilder = newSnapshotBuilder(s.watchServer.Stats().RecordBuild)
 	s.failureDetector = distribution.NewFailureDetector(members, peerClient, s.otherControlClients)
 	s.memberExchange = distribution.NewMemberExchange(options.Instance, members, peerClient, s.otherControlAddrs, options.Logger)
 	return s
@@ -133,6 +133,7 @@
 	group.Go(func() error { return s.failureDetector.Run(ctx) })
 	group.Go(func() error { return s.memberExchange.Run(ctx) })
 	group.Go(func() error { return distribution.FlushLoop(ctx, s.members) })
+	group.Go(func() error { return s.servingLoop(ctx) })
 	group.Go(func() error { return s.moveLoop(ctx) })
 	group.Go(func() error { return s.adoptLoop(ctx) })
 	if !s.options.Direct {
--- a/internal/control/snapshot_builder.go
+++ b/internal/control/snapshot_builder.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"samphireflow/internal/distribution"
 	"samphireflow/internal/snapshot"
@@ -13,10 +14,12 @@
 	mu sync.Mutex
 	// histories holds the snapshots of each failure domain.
 	histories map[string]*distribution.History
+	// recordBuild receives the time that building a snapshot took.
+	recordBuild func(took time.Duration)
 }
 
-func newSnapshotBuilder() *snapshotBuilder {
-	return &snapshotBuilder{histories: map[string]*distribution.History{}}
+func newSnapshotBuilder(recordBuild func(took time.Duration)) *snapshotBuilder {
+	return &snapshotBuilder{recordBuild: recordBuild, histories: map[string]*distribution.History{}}
 }
 
 // history returns the snapshots of a failure domain up to the version of a view. It leaves out a snapshot that fails the
@@ -32,6 +35,8 @@
 	if newest := history.Newest(); newest != nil && newest.Version >= view.Version {
 		return history, nil
 	}
+	started := time.Now()
+	defer func() { b.recordBuild(time.Since(started)) }()
 	snap := snapshot.Build(view, failureDomain)
 	if err := snapshot.Check(snap); err != nil {
 		return history, err
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -17,6 +17,7 @@
 			Log:     d.replica.Status,
 			View:    d.machine.View,
 			Members: d.control.CountMembers,
+			Serving: d.control.ServingTotals,
 		}))
 	}
 	if d.node != nil {
--- a/internal/distribution/history.go
+++ b/internal/distribution/history.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -73,7 +74,13 @@
 	if newest == nil {
 		return ConfigUpdate{}
 	}
-	return h.subset(services, newest).updateFrom(h.find(version), digest)
+	started := time.Now()
+	subset := h.subset(services, newest)
+	update, encoded := subset.updateFrom(h.find(version), digest)
+	if encoded {
+		update.EncodeTime = time.Since(started)
+	}
+	return update
 }
 
 // Closure returns the services that can be reached by fallback from the requested ones, these included; nil means all
@@ -141,27 +148,30 @@
 }
 
 // updateFrom returns the update to the newest version for a watcher. The parameter full is the full snapshot of the version
-// that the watcher has, nil when it is not kept; digest is the digest of the content that the watcher has.
-func (s *subset) updateFrom(full *apiv1.Snapshot, digest uint64) ConfigUpdate {
-	if s.encoded == nil {
+// that the watcher has, nil when it is not kept; digest is the digest of the content that the watcher has. It also reports
+// whether the call had to encode the update.
+func (s *subset) updateFrom(full *apiv1.Snapshot, digest uint64) (ConfigUpdate, bool) {
+	encoded := s.encoded == nil
+	if encoded {
 		s.encoded = encode(s.newest)
 	}
 	update := ConfigUpdate{Version: s.newest.Version, Snapshot: s.encoded}
 	if full == nil {
-		return update
+		return update, encoded
 	}
 	key := watcherVersion{full.Version, digest}
 	delta, ok := s.deltas[key]
 	if !ok {
+		encoded = true
 		if base := snapshot.Filter(full, s.services); base.Digest == digest {
 			delta = encode(snapshot.Diff(base, s.newest))
 		}
 		s.deltas[key] = delta
 	}
 	if delta != nil && len(delta) < len(s.encoded) {
-		return ConfigUpdate{Version: s.newest.Version, Delta: delta}
+		return ConfigUpdate{Version: s.newest.Version, Delta: delta}, encoded
 	}
-	return update
+	return update, encoded
 }
 
 // encode encodes and packs a message. Encoding cannot fail, because this process built the message itself.
--- a/internal/distribution/watch_server.go
+++ b/internal/distribution/watch_server.go
@@ -36,6 +36,7 @@
 	members *memberUpdates
 	hub     *member.Hub
 	limiter *rate.Limiter
+	stats   *ServingStats
 	// stopping is closed by Stop.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -48,11 +49,17 @@
 		hub:     hub,
 		members: newMemberUpdates(hub),
 		limiter: rate.NewLimiter(responseRate, responseBurst),
+		stats:   newServingStats(),
 
 		stopping: make(chan struct{}),
 	}
 }
 
+// Stats returns the statistics of the versions that this server sends.
+func (s *WatchServer) Stats() *ServingStats {
+	return s.stats
+}
+
 // Stop ends all open watches, so that the watchers fail over to another process at once.
 func (s *WatchServer) Stop() {
 	s.stopOnce.Do(func() { close(s.stopping) })
@@ -80,6 +87,9 @@
 			if err := s.admit(ctx, response); err != nil {
 				return nil, err
 			}
+			if response.Snapshot != nil || response.Delta != nil {
+				s.stats.recordResponse(response.Snapshot, response.Delta, time.Now())
+			}
 			return response, nil
 		}
 		select {
@@ -145,6 +155,7 @@
 	if newest := history.Newest(); response.Relays == nil && newest.GetVersion() > request.Version && newest.Version != request.RefusedVersion {
 		update := history.UpdateFrom(request.Services, request.Version, request.Digest)
 		response.Snapshot, response.Delta = update.Snapshot, update.Delta
+		s.stats.recordEncode(update.EncodeTime)
 	}
 	if wantMembers {
 		complete := s.source.MembersComplete()
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/replica"
 	"samphireflow/internal/state"
 )
@@ -15,6 +16,8 @@
 	View func() *state.View
 	// Members returns the numbers of nodes and of backend servers that hold a lease.
 	Members func() (nodes, servers int)
+	// Serving returns what this control instance has sent to watchers.
+	Serving func() distribution.ServingTotals
 }
 
 // controlCollector collects the metrics of a control instance.
@@ -28,6 +31,10 @@
 	contact *prometheus.Desc
 	moves   *prometheus.Desc
 	members *prometheus.Desc
+	work    *prometheus.Desc
+	updates *prometheus.Desc
+	bytes   *prometheus.Desc
+	delay   *prometheus.Desc
 }
 
 // NewControl returns the collector of a control instance.
@@ -42,6 +49,10 @@
 		contact: newDesc("log_contact_age_seconds", "Time since a leader or a quorum was heard."),
 		moves:   newDesc("moves_active", "Moves that have not ended."),
 		members: newDesc("members", "Members that hold a lease.", "kind"),
+		work:    newDesc("config_work_seconds_total", "Time spent on building snapshots and on encoding updates.", "step"),
+		updates: newDesc("config_updates_total", "Configuration updates sent to watchers.", "kind"),
+		bytes:   newDesc("config_update_bytes_total", "Encoded bytes of the updates sent to watchers.", "kind"),
+		delay:   newDesc("config_update_delay_seconds", "Time from the application of a version in this process to its updates."),
 	}
 }
 
@@ -63,6 +74,21 @@
 	out <- gauge(c.moves, float64(countActiveMoves(view)))
 	out <- gauge(c.members, float64(nodes), "node")
 	out <- gauge(c.members, float64(servers), "backend-server")
+	c.collectServing(out, c.source.Serving())
+}
+
+func (c *controlCollector) collectServing(out chan<- prometheus.Metric, totals distribution.ServingTotals) {
+	out <- counter(c.work, totals.Build.Seconds(), "build")
+	out <- counter(c.work, totals.Encode.Seconds(), "encode")
+	out <- counter(c.updates, float64(totals.Deltas), "delta")
+	out <- counter(c.updates, float64(totals.Snapshots), "snapshot")
+	out <- counter(c.bytes, float64(totals.DeltaBytes), "delta")
+	out <- counter(c.bytes, float64(totals.SnapshotBytes), "snapshot")
+	buckets := make(map[float64]uint64, len(distribution.DelayBuckets))
+	for i, bound := range distribution.DelayBuckets {
+		buckets[bound] = totals.Delays[i]
+	}
+	out <- prometheus.MustNewConstHistogram(c.delay, totals.Deltas+totals.Snapshots, totals.DelaySum.Seconds(), buckets)
 }
 
 func countActiveMoves(view *state.View) int {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -153,7 +153,7 @@
 		n.options.Logger.Warn().Err(refused).Str("upstream", from.Addr).Msg("configuration refused")
 	}
 	if changed {
-		n.onApplied()
+		n.onApplied(from, response)
 	}
 	membersChanged, err := n.applyMembers(response.Members)
 	if err != nil {
@@ -173,10 +173,11 @@
 }
 
 // onApplied logs the newly applied snapshot, passes it to OnApply and learns its relays.
-func (n *Node) onApplied() {
+func (n *Node) onApplied(from *distribution.Client, response *apiv1.WatchResponse) {
 	current := n.applier.current
 	n.options.Logger.Info().Uint64("version", current.Version).Uint64("config_term", current.Term).
-		Str("digest", strconv.FormatUint(current.Digest, 16)).Msg("configuration applied")
+		Str("digest", strconv.FormatUint(current.Digest, 16)).Str("upstream", from.Addr).Bool("delta", response.Delta != nil).
+		Int("bytes", len(response.Delta)+len(response.Snapshot)).Msg("configuration applied")
 	if n.options.OnApply != nil {
 		n.options.OnApply(current)
 	}
