--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -72,7 +72,7 @@
 }
 
 // start runs one instance and stops it with SIGTERM at the end of the test; it must exit without an error.
-func (d *deployment) start(i int, local string) {
+func (d *deployment) start(i int, local string, env ...string) *os.Process {
 	settings := fmt.Sprintf(`[LocalNode]
 Node = "instance-%d"
 Ip = "%s"
@@ -97,7 +97,7 @@
 	logs, err := os.Create(filepath.Join(d.dir, fmt.Sprintf("instance-%d.log", i)))
 	require.NoError(d.t, err)
 	process := exec.Command(d.binary)
-	process.Env = append(os.Environ(), "SAMPHIREFLOW_SETTINGS="+path)
+	process.Env = append(append(os.Environ(), "SAMPHIREFLOW_SETTINGS="+path), env...)
 	process.Stdout, process.Stderr = logs, logs
 	require.NoError(d.t, process.Start())
 	ended := make(chan error, 1)
@@ -113,6 +113,7 @@
 		stopping.Store(true)
 		d.stop(process, ended, logs.Name())
 	})
+	return process.Process
 }
 
 func (d *deployment) stop(process *exec.Cmd, ended <-chan error, logs string) {
