Make the cost of a version depend on what changed, not on all routes

On 0.24 of a core that took 650 to 850 ms a version; versions that come faster than that queue, and all nodes are late.

A Builder now takes over each route unless its branch, an override of the failure domain or an inherited key has changed; versions share unchanged entities, so that comparing them compares pointers. A Digester keeps the encodings that a digest is computed of; the digests are the same as before. Decoding in nodes and relays uses the same parts.

--- a/internal/control/snapshot_builder.go
+++ b/internal/control/snapshot_builder.go
@@ -11,15 +11,20 @@
 
 // snapshotBuilder builds the snapshot of each failure domain, once per configuration version.
 type snapshotBuilder struct {
-	mu sync.Mutex
-	// histories holds the snapshots of each failure domain.
-	histories map[string]*distribution.History
+	mu      sync.Mutex
+	domains map[string]*domainSnapshots
 	// recordBuild receives the time that building a snapshot took.
 	recordBuild func(took time.Duration)
 }
 
+// domainSnapshots holds the snapshots of one failure domain.
+type domainSnapshots struct {
+	builder *snapshot.Builder
+	history *distribution.History
+}
+
 func newSnapshotBuilder(recordBuild func(took time.Duration)) *snapshotBuilder {
-	return &snapshotBuilder{recordBuild: recordBuild, histories: map[string]*distribution.History{}}
+	return &snapshotBuilder{recordBuild: recordBuild, domains: map[string]*domainSnapshots{}}
 }
 
 // history returns the snapshots of a failure domain up to the version of a view. It leaves out a snapshot that fails the
@@ -27,18 +32,19 @@
 func (b *snapshotBuilder) history(view *state.View, failureDomain string) (*distribution.History, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	history := b.histories[failureDomain]
-	if history == nil {
-		history = distribution.NewHistory()
-		b.histories[failureDomain] = history
+	domain := b.domains[failureDomain]
+	if domain == nil {
+		domain = &domainSnapshots{builder: snapshot.NewBuilder(failureDomain), history: distribution.NewHistory()}
+		b.domains[failureDomain] = domain
 	}
+	history := domain.history
 	if newest := history.Newest(); newest != nil && newest.Version >= view.Version {
 		return history, nil
 	}
 	started := time.Now()
 	defer func() { b.recordBuild(time.Since(started)) }()
-	snap := snapshot.Build(view, failureDomain)
-	if err := snapshot.Check(snap); err != nil {
+	snap := domain.builder.Build(view)
+	if err := domain.builder.Check(snap); err != nil {
 		return history, err
 	}
 	history.Put(snap)
--- a/internal/distribution/decode.go
+++ b/internal/distribution/decode.go
@@ -14,13 +14,13 @@
 
 // Decode applies the configuration in a watch response to the current snapshot and returns the validated next snapshot,
 // nil when the response carries no configuration. It also returns the version in the response, 0 when the response carries
-// none or it cannot be decoded; on an error this is the refused version.
-func Decode(current *apiv1.Snapshot, response *apiv1.WatchResponse) (*apiv1.Snapshot, uint64, error) {
+// none or it cannot be decoded; on an error this is the refused version. The digester is kept between calls.
+func Decode(digester *snapshot.Digester, current *apiv1.Snapshot, response *apiv1.WatchResponse) (*apiv1.Snapshot, uint64, error) {
 	switch {
 	case len(response.Delta) > 0:
-		return decodeDelta(current, response.Delta)
+		return decodeDelta(digester, current, response.Delta)
 	case len(response.Snapshot) > 0:
-		return decodeSnapshot(response.Snapshot)
+		return decodeSnapshot(digester, response.Snapshot)
 	}
 	return nil, 0, nil
 }
@@ -34,7 +34,7 @@
 	return proto.Unmarshal(unpacked, into)
 }
 
-func decodeDelta(current *apiv1.Snapshot, data []byte) (*apiv1.Snapshot, uint64, error) {
+func decodeDelta(digester *snapshot.Digester, current *apiv1.Snapshot, data []byte) (*apiv1.Snapshot, uint64, error) {
 	delta := &apiv1.Delta{}
 	if err := unmarshal(data, delta); err != nil {
 		return nil, 0, errors.Wrap(ErrMalformedResponse, err.Error())
@@ -42,19 +42,19 @@
 	if current == nil {
 		return nil, delta.Version, errors.Wrap(ErrMalformedResponse, "a delta without a version to start from")
 	}
-	next, err := snapshot.Apply(current, delta)
+	next, err := digester.Apply(current, delta)
 	if err != nil {
 		return nil, delta.Version, err
 	}
 	return next, delta.Version, nil
 }
 
-func decodeSnapshot(data []byte) (*apiv1.Snapshot, uint64, error) {
+func decodeSnapshot(digester *snapshot.Digester, data []byte) (*apiv1.Snapshot, uint64, error) {
 	next := &apiv1.Snapshot{}
 	if err := unmarshal(data, next); err != nil {
 		return nil, 0, errors.Wrap(ErrMalformedResponse, err.Error())
 	}
-	if err := snapshot.Check(next); err != nil {
+	if err := digester.Check(next); err != nil {
 		return nil, next.Version, err
 	}
 	return next, next.Version, nil
--- a/internal/distribution/history.go
+++ b/internal/distribution/history.go
@@ -24,12 +24,14 @@
 type History struct {
 	mu       sync.Mutex
 	versions []*apiv1.Snapshot
-	subsets  map[string]*subset
+	// filters is kept from version to version; subsets belongs to the newest one.
+	filters map[string]*snapshot.Filter
+	subsets map[string]*subset
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
-	return &History{subsets: map[string]*subset{}}
+	return &History{filters: map[string]*snapshot.Filter{}, subsets: map[string]*subset{}}
 }
 
 // Put adds a full snapshot. It reports whether the snapshot is newer than all previous ones; an older one is ignored.
@@ -112,24 +114,36 @@
 	if s := h.subsets[key]; s != nil {
 		return s
 	}
-	if len(h.subsets) >= maxSubsets {
-		h.subsets = map[string]*subset{}
+	if len(h.filters) >= maxSubsets {
+		h.filters, h.subsets = map[string]*snapshot.Filter{}, map[string]*subset{}
 	}
-	s := newSubset(services, newest)
+	filter := h.filters[key]
+	if filter == nil {
+		filter = snapshot.NewFilter(services)
+		h.filters[key] = filter
+	}
+	s := newSubset(filter, newest)
 	h.subsets[key] = s
 	return s
 }
 
 // subset is the newest version reduced to the closure of some services, with its encoded updates.
 type subset struct {
-	services []string
-	closure  map[string]bool
-	newest   *apiv1.Snapshot
+	filter  *snapshot.Filter
+	closure map[string]bool
+	newest  *apiv1.Snapshot
 	// encoded is the encoded and packed snapshot, nil until it is first needed.
 	encoded []byte
-	// deltas caches the encoded and packed delta from each requested version and digest. An entry is nil when the digest
-	// does not match that version.
-	deltas map[watcherVersion][]byte
+	// deltas caches the delta from each requested version and digest. An entry is nil when the digest does not match that
+	// version.
+	deltas map[watcherVersion]*encodedDelta
+}
+
+// encodedDelta is an encoded and packed delta. It is small if it carries at most half as many entities as the snapshot has,
+// so that it is known to be the shorter update.
+type encodedDelta struct {
+	data  []byte
+	small bool
 }
 
 // watcherVersion is the version that a watcher has, and the digest of its content.
@@ -138,12 +152,12 @@
 	digest  uint64
 }
 
-func newSubset(services []string, full *apiv1.Snapshot) *subset {
+func newSubset(filter *snapshot.Filter, full *apiv1.Snapshot) *subset {
 	return &subset{
-		services: services,
-		closure:  snapshot.FallbackClosure(full, services),
-		newest:   snapshot.Filter(full, services),
-		deltas:   map[watcherVersion][]byte{},
+		filter:  filter,
+		closure: filter.Closure(full),
+		newest:  filter.Apply(full),
+		deltas:  map[watcherVersion]*encodedDelta{},
 	}
 }
 
@@ -151,27 +165,43 @@
 // that the watcher has, nil when it is not kept; digest is the digest of the content that the watcher has. It also reports
 // whether the call had to encode the update.
 func (s *subset) updateFrom(full *apiv1.Snapshot, digest uint64) (ConfigUpdate, bool) {
-	encoded := s.encoded == nil
-	if encoded {
-		s.encoded = encode(s.newest)
+	encoded := false
+	var delta *encodedDelta
+	if full != nil {
+		delta, encoded = s.deltaFrom(full, digest)
+	}
+	// Encoding the snapshot costs as much as the configuration is large, so it is left out for a small delta.
+	if delta != nil && delta.small {
+		return ConfigUpdate{Version: s.newest.Version, Delta: delta.data}, encoded
+	}
+	if s.encoded == nil {
+		s.encoded, encoded = encode(s.newest), true
 	}
-	update := ConfigUpdate{Version: s.newest.Version, Snapshot: s.encoded}
-	if full == nil {
-		return update, encoded
+	if delta != nil && len(delta.data) < len(s.encoded) {
+		return ConfigUpdate{Version: s.newest.Version, Delta: delta.data}, encoded
 	}
+	return ConfigUpdate{Version: s.newest.Version, Snapshot: s.encoded}, encoded
+}
+
+// deltaFrom returns the delta from a version, or nil when the digest is not that of the version. It also reports whether
+// the call had to encode the delta.
+func (s *subset) deltaFrom(full *apiv1.Snapshot, digest uint64) (*encodedDelta, bool) {
 	key := watcherVersion{full.Version, digest}
-	delta, ok := s.deltas[key]
-	if !ok {
-		encoded = true
-		if base := snapshot.Filter(full, s.services); base.Digest == digest {
-			delta = encode(snapshot.Diff(base, s.newest))
-		}
-		s.deltas[key] = delta
+	delta, known := s.deltas[key]
+	if known {
+		return delta, false
 	}
-	if delta != nil && len(delta) < len(s.encoded) {
-		return ConfigUpdate{Version: s.newest.Version, Delta: delta}, encoded
+	if base := s.filter.Apply(full); base.Digest == digest {
+		diff := snapshot.Diff(base, s.newest)
+		delta = &encodedDelta{data: encode(diff), small: 2*countEntities(diff) <= len(s.newest.Services)+len(s.newest.Routes)}
 	}
-	return update, encoded
+	s.deltas[key] = delta
+	return delta, true
+}
+
+// countEntities counts the entities that a delta carries.
+func countEntities(delta *apiv1.Delta) int {
+	return len(delta.Services) + len(delta.Routes) + len(delta.Resources)
 }
 
 // encode encodes and packs a message. Encoding cannot fail, because this process built the message itself.
--- a/internal/distribution/history_test.go
+++ b/internal/distribution/history_test.go
@@ -44,14 +44,14 @@
 	outdated := versionOf(maxVersions + 10)
 	update := history.UpdateFrom(nil, outdated.Version, outdated.Digest)
 	require.Nil(t, update.Snapshot)
-	next, _, err := Decode(outdated, &apiv1.WatchResponse{Delta: update.Delta})
+	next, _, err := Decode(&snapshot.Digester{}, outdated, &apiv1.WatchResponse{Delta: update.Delta})
 	require.NoError(t, err)
 	require.EqualValues(t, 2*maxVersions, next.Version, "one delta covers hundreds of versions")
 	require.Less(t, unpackedLen(t, update.Delta), unpackedLen(t, history.UpdateFrom(nil, 0, 0).Snapshot)/5)
 
 	update = history.UpdateFrom(nil, first.Version, first.Digest)
 	require.Nil(t, update.Delta, "a version that is no longer kept gets the full snapshot")
-	next, _, err = Decode(nil, &apiv1.WatchResponse{Snapshot: update.Snapshot})
+	next, _, err = Decode(&snapshot.Digester{}, nil, &apiv1.WatchResponse{Snapshot: update.Snapshot})
 	require.NoError(t, err)
 	require.EqualValues(t, 2*maxVersions, next.Version)
 
@@ -65,10 +65,19 @@
 	first := versionOf(1)
 	history.Put(first)
 	history.Put(versionOf(2))
-	a := history.UpdateFrom([]string{"s00"}, 1, snapshot.Filter(first, []string{"s00"}).Digest)
-	b := history.UpdateFrom([]string{"s00"}, 1, snapshot.Filter(first, []string{"s00"}).Digest)
+	a := history.UpdateFrom([]string{"s00"}, 1, snapshot.NewFilter([]string{"s00"}).Apply(first).Digest)
+	b := history.UpdateFrom([]string{"s00"}, 1, snapshot.NewFilter([]string{"s00"}).Apply(first).Digest)
 	require.NotEmpty(t, a.Delta)
 	require.Same(t, &a.Delta[0], &b.Delta[0])
 	full := history.UpdateFrom(nil, 0, 0)
 	require.Less(t, unpackedLen(t, history.UpdateFrom([]string{"s01"}, 0, 0).Snapshot), unpackedLen(t, full.Snapshot)/5, "the subset of one service contains only what it needs")
 }
+
+func TestHistoryEncodesNoSnapshotForWatchersThatGetSmallDeltas(t *testing.T) {
+	history := NewHistory()
+	first := versionOf(1)
+	history.Put(first)
+	history.Put(versionOf(2))
+	require.NotEmpty(t, history.UpdateFrom(nil, 1, first.Digest).Delta)
+	require.Nil(t, history.subsets[""].encoded)
+}
--- a/internal/distribution/relay_pull.go
+++ b/internal/distribution/relay_pull.go
@@ -49,7 +49,7 @@
 	age := time.Duration(response.AgeMs) * time.Millisecond
 	r.state.recordContact(time.Now(), age)
 	r.state.recordAccepted(response.AcceptedVersion)
-	next, version, err := Decode(held, response)
+	next, version, err := r.state.decode(held, response)
 	switch {
 	case err != nil:
 		err = r.state.recordRefusal(version, err)
--- a/internal/distribution/relay_state.go
+++ b/internal/distribution/relay_state.go
@@ -22,6 +22,10 @@
 	// released holds the versions that are served to watchers.
 	released *History
 
+	// digestMu guards digester.
+	digestMu sync.Mutex
+	digester snapshot.Digester
+
 	mu      sync.Mutex
 	tracker *AckTracker
 	// unreleased holds the versions that are not released yet, oldest first; newest is the newest version of all.
@@ -101,7 +105,17 @@
 	if snap.FailureDomain != s.failureDomain {
 		return s.recordRefusal(snap.Version, errors.Errorf("snapshot is for failure domain %q", snap.FailureDomain))
 	}
-	return s.recordRefusal(snap.Version, snapshot.Check(snap))
+	s.digestMu.Lock()
+	err := s.digester.Check(snap)
+	s.digestMu.Unlock()
+	return s.recordRefusal(snap.Version, err)
+}
+
+// decode applies the configuration in a watch response to a held version; see Decode.
+func (s *relayState) decode(held *apiv1.Snapshot, response *apiv1.WatchResponse) (*apiv1.Snapshot, uint64, error) {
+	s.digestMu.Lock()
+	defer s.digestMu.Unlock()
+	return Decode(&s.digester, held, response)
 }
 
 // recordRefusal records a refused version and the reason, and returns the error. It does nothing without an error.
--- a/internal/node/applier.go
+++ b/internal/node/applier.go
@@ -5,6 +5,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
+	"samphireflow/internal/snapshot"
 )
 
 // ErrStaleSnapshot is wrapped by the errors that refuse a snapshot which is older than the one that the node has applied,
@@ -20,6 +21,7 @@
 	// floor is the newest version that the node may have applied before it started.
 	floor          uint64
 	current        *apiv1.Snapshot
+	digester       snapshot.Digester
 	refusedVersion uint64
 	refusal        string
 	// wantFull requests the full snapshot after a delta was refused, because the full snapshot may still be valid.
@@ -29,7 +31,7 @@
 // apply applies the configuration in a watch response. It reports whether the current snapshot changed. A refused
 // configuration leaves the current snapshot unchanged.
 func (a *applier) apply(response *apiv1.WatchResponse) (bool, error) {
-	next, version, err := distribution.Decode(a.current, response)
+	next, version, err := distribution.Decode(&a.digester, a.current, response)
 	if err != nil {
 		return false, a.recordRefusal(version, err, len(response.Delta) > 0)
 	}
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -12,23 +12,7 @@
 // Build returns the snapshot of a view for one failure domain, with all settings resolved. The result shares data with
 // the view and must not be modified.
 func Build(view *state.View, failureDomain string) *apiv1.Snapshot {
-	snap := &apiv1.Snapshot{Version: view.Version, Term: view.Term, FailureDomain: failureDomain}
-	for _, branch := range view.Tree.AtLevel(tree.LevelService) {
-		snap.Services = append(snap.Services, buildService(view, branch.Path.ForSite(failureDomain)))
-	}
-	for _, branch := range view.Tree.AtLevel(tree.LevelRoute) {
-		snap.Routes = append(snap.Routes, buildRoute(view.Tree, branch, failureDomain))
-	}
-	for _, branch := range view.Tree.AtLevel(tree.LevelResource) {
-		snap.Resources = append(snap.Resources, buildResource(view.Tree, branch.Path))
-	}
-	snap.Assignments = assignmentsFor(view, failureDomain)
-	snap.Settings = resolveSettings(view.Tree, tree.Path{Level: tree.LevelGlobal}.ForSite(failureDomain), callerKeys)
-	sortEntities(snap.Services)
-	sortEntities(snap.Routes)
-	sortEntities(snap.Resources)
-	snap.Digest = Digest(snap)
-	return snap
+	return NewBuilder(failureDomain).Build(view)
 }
 
 // assignmentsFor lists the assignments that nodes of a failure domain need: its own relays, and the claim holders of
@@ -45,10 +29,11 @@
 }
 
 func buildService(view *state.View, path tree.Path) *apiv1.ServiceConfig {
+	scope := view.Tree.Scope(path)
 	service := &apiv1.ServiceConfig{
 		Name:     path.Service,
-		Fallback: view.Tree.Text(path, tree.KeyFallback),
-		Settings: resolveSettings(view.Tree, path, serviceKeys),
+		Fallback: scope.Text(tree.KeyFallback),
+		Settings: resolveSettings(scope, serviceKeys),
 	}
 	move := view.ActiveMove(path.Service)
 	if move == nil {
@@ -68,8 +53,8 @@
 func buildRoute(settings *tree.Tree, branch *tree.Branch, failureDomain string) *apiv1.RouteConfig {
 	method, _ := branch.Get(tree.KeyRouteMethod)
 	pattern, _ := branch.Get(tree.KeyRoutePath)
-	at := branch.Path.ForSite(failureDomain)
-	idempotent, _ := strconv.ParseBool(settings.Text(at, tree.KeyRouteIdempotent))
+	scope := settings.Scope(branch.Path.ForSite(failureDomain))
+	idempotent, _ := strconv.ParseBool(scope.Text(tree.KeyRouteIdempotent))
 	keys := routeKeys
 	if _, byHost := branch.Get(tree.KeyRouteHost); byHost {
 		keys = append(slices.Clone(routeKeys), hostRouteKeys...)
@@ -80,13 +65,13 @@
 		Method:     method,
 		Path:       pattern,
 		Idempotent: idempotent,
-		RateLimit:  settings.Text(at, tree.KeyRateLimit),
-		Settings:   resolveSettings(settings, at, keys),
+		RateLimit:  scope.Text(tree.KeyRateLimit),
+		Settings:   resolveSettings(scope, keys),
 	}
 }
 
 func buildResource(settings *tree.Tree, path tree.Path) *apiv1.ResourceConfig {
-	return &apiv1.ResourceConfig{Name: path.Resource, Settings: resolveSettings(settings, path, resourceKeys)}
+	return &apiv1.ResourceConfig{Name: path.Resource, Settings: resolveSettings(settings.Scope(path), resourceKeys)}
 }
 
 // Keys of the settings that nodes use, by the entity whose configuration holds them.
@@ -104,13 +89,15 @@
 	// callerKeys are the keys of the snapshot itself, which limit the requests of callers.
 	callerKeys   = []string{tree.KeyCallerHeaderBytes, tree.KeyCallerBodyBytes, tree.KeyCallerHeaderTimeout, tree.KeyCallerIdleTimeout}
 	resourceKeys = []string{tree.KeyResourceCallsRate, tree.KeyResourceBurst}
+	// inheritedRouteKeys are the keys of a route's configuration that its ancestors can set.
+	inheritedRouteKeys = slices.Concat(routeKeys, hostRouteKeys, []string{tree.KeyRouteIdempotent, tree.KeyRateLimit})
 )
 
-// resolveSettings lists the values that are in effect at a path for those of the keys that have one.
-func resolveSettings(settings *tree.Tree, path tree.Path, keys []string) []*apiv1.Setting {
+// resolveSettings lists the values that are in effect in a scope for those of the keys that have one.
+func resolveSettings(scope tree.Scope, keys []string) []*apiv1.Setting {
 	list := make([]*apiv1.Setting, 0, len(keys))
 	for _, key := range keys {
-		if value, ok := settings.Resolve(path, key); ok {
+		if value, ok := scope.Resolve(key); ok {
 			list = append(list, &apiv1.Setting{Key: key, Value: value.Value})
 		}
 	}
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -12,7 +12,12 @@
 // Check verifies that a snapshot is complete: its digest matches, and every service and resource that a route or
 // service refers to is in the snapshot.
 func Check(snap *apiv1.Snapshot) error {
-	if snap.Digest != Digest(snap) {
+	return (&Digester{}).Check(snap)
+}
+
+// Check does the same as the function Check.
+func (d *Digester) Check(snap *apiv1.Snapshot) error {
+	if snap.Digest != d.Digest(snap) {
 		return errors.Wrapf(ErrBadSnapshot, "version %d: digest does not match", snap.Version)
 	}
 	services := map[string]bool{}
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -1,7 +1,8 @@
 package snapshot
 
 import (
-	"sort"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -15,7 +16,8 @@
 	GetName() string
 }
 
-// Diff returns the delta from one snapshot of a failure domain to a later one.
+// Diff returns the delta from one snapshot of a failure domain to a later one. The entities of both must be sorted by name,
+// the canonical order of a snapshot.
 func Diff(from, to *apiv1.Snapshot) *apiv1.Delta {
 	delta := &apiv1.Delta{FromVersion: from.Version, Version: to.Version, Term: to.Term, Digest: to.Digest}
 	delta.Services, delta.RemovedServices = diffEntities(from.Services, to.Services)
@@ -26,30 +28,61 @@
 	return delta
 }
 
-// diffEntities returns the entities that changed or were added, and the names of those that were removed.
+// diffEntities returns the entities that changed or were added, and the names of those that were removed, both sorted.
 func diffEntities[E entity](from, to []E) (changed []E, removed []string) {
-	old := make(map[string]E, len(from))
-	for _, e := range from {
-		old[e.GetName()] = e
-	}
-	for _, e := range to {
-		before, ok := old[e.GetName()]
-		if !ok || any(before) != any(e) && !proto.Equal(before, e) {
-			changed = append(changed, e)
+	eachPair(from, to, func(before E, inFrom bool, after E, inTo bool) {
+		switch {
+		case !inTo:
+			removed = append(removed, before.GetName())
+		case !inFrom || !sameEntity(before, after):
+			changed = append(changed, after)
 		}
-		delete(old, e.GetName())
-	}
-	for name := range old {
-		removed = append(removed, name)
-	}
-	sort.Strings(removed)
+	})
 	return changed, removed
 }
 
+// sameEntity compares two entities. Unchanged entities are mostly shared between versions, which makes comparing cheap.
+func sameEntity[E entity](a, b E) bool {
+	return any(a) == any(b) || proto.Equal(a, b)
+}
+
+// eachPair visits the entities of two sorted lists by name, together where both lists have one.
+func eachPair[E entity](from, to []E, visit func(before E, inFrom bool, after E, inTo bool)) {
+	var none E
+	i, j := 0, 0
+	for i < len(from) || j < len(to) {
+		order := 0
+		switch {
+		case i == len(from):
+			order = 1
+		case j == len(to):
+			order = -1
+		case any(from[i]) != any(to[j]):
+			order = strings.Compare(from[i].GetName(), to[j].GetName())
+		}
+		switch {
+		case order < 0:
+			visit(from[i], true, none, false)
+			i++
+		case order > 0:
+			visit(none, false, to[j], true)
+			j++
+		default:
+			visit(from[i], true, to[j], true)
+			i, j = i+1, j+1
+		}
+	}
+}
+
 // Apply applies a delta to a snapshot and returns the result; the given snapshot does not change. The error wraps
 // ErrBadSnapshot when the delta does not start at the version of the snapshot or the result does not pass Check, which
 // includes the delta's digest.
 func Apply(from *apiv1.Snapshot, delta *apiv1.Delta) (*apiv1.Snapshot, error) {
+	return (&Digester{}).Apply(from, delta)
+}
+
+// Apply does the same as the function Apply.
+func (d *Digester) Apply(from *apiv1.Snapshot, delta *apiv1.Delta) (*apiv1.Snapshot, error) {
 	if from.Version != delta.FromVersion {
 		return nil, errors.Wrapf(ErrBadSnapshot, "delta from version %d does not start at version %d", delta.FromVersion, from.Version)
 	}
@@ -64,27 +97,29 @@
 		Settings:      delta.Settings,
 		Digest:        delta.Digest,
 	}
-	return next, Check(next)
+	return next, d.Check(next)
 }
 
-// applyEntities returns the entities with the changes and removals applied. They stay sorted by name, the canonical
-// order of a snapshot.
+// applyEntities returns the entities with the changes and removals applied, in canonical order.
 func applyEntities[E entity](from, changed []E, removed []string) []E {
-	byName := make(map[string]E, len(from)+len(changed))
-	for _, e := range from {
-		byName[e.GetName()] = e
-	}
-	for _, e := range changed {
-		byName[e.GetName()] = e
+	if len(changed) == 0 && len(removed) == 0 {
+		return from
 	}
+	gone := make(map[string]bool, len(removed))
 	for _, name := range removed {
-		delete(byName, name)
-	}
-	list := make([]E, 0, len(byName))
-	for _, e := range byName {
-		list = append(list, e)
+		gone[name] = true
 	}
-	sortEntities(list)
+	changed = slices.Clone(changed)
+	sortEntities(changed)
+	list := make([]E, 0, len(from)+len(changed))
+	eachPair(from, changed, func(before E, _ bool, after E, isChanged bool) {
+		if !isChanged {
+			after = before
+		}
+		if !gone[after.GetName()] {
+			list = append(list, after)
+		}
+	})
 	return list
 }
 
@@ -99,20 +134,19 @@
 }
 
 func shareUnchangedEntities[E entity](from, to []E) []E {
-	old := make(map[string]E, len(from))
-	for _, e := range from {
-		old[e.GetName()] = e
-	}
-	list := make([]E, len(to))
-	for i, e := range to {
-		list[i] = e
-		if before, ok := old[e.GetName()]; ok && proto.Equal(before, e) {
-			list[i] = before
+	list := make([]E, 0, len(to))
+	eachPair(from, to, func(before E, inFrom bool, after E, inTo bool) {
+		switch {
+		case !inTo:
+		case inFrom && sameEntity(before, after):
+			list = append(list, before)
+		default:
+			list = append(list, after)
 		}
-	}
+	})
 	return list
 }
 
 func sortEntities[E entity](list []E) {
-	sort.Slice(list, func(i, j int) bool { return list[i].GetName() < list[j].GetName() })
+	slices.SortFunc(list, func(a, b E) int { return strings.Compare(a.GetName(), b.GetName()) })
 }
--- a/internal/snapshot/filter_test.go
+++ b/internal/snapshot/filter_test.go
@@ -42,7 +42,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		first, second := drawSnapshot(t, 1), drawSnapshot(t, 2)
 		wanted := rapid.SliceOfN(rapid.SampledFrom([]string{"s0", "s1", "s2", "s3"}), 1, 3).Draw(t, "wanted")
-		from, to := Filter(first, wanted), Filter(second, wanted)
+		filter := NewFilter(wanted)
+		from, to := filter.Apply(first), filter.Apply(second)
 		require.NoError(t, Check(from))
 		require.NoError(t, Check(to))
 		services := map[string]bool{}
--- a/internal/tree/branch.go
+++ b/internal/tree/branch.go
@@ -34,6 +34,21 @@
 	return v.text, ok
 }
 
+// SameValues reports whether two branches, which may be nil, set the same values for the keys.
+func SameValues(a, b *Branch, keys []string) bool {
+	if a == b {
+		return true
+	}
+	for _, key := range keys {
+		before, had := a.Get(key)
+		after, has := b.Get(key)
+		if before != after || had != has {
+			return false
+		}
+	}
+	return true
+}
+
 // Settings lists the settings of the branch, sorted by key.
 func (b *Branch) Settings() []*apiv1.Setting {
 	list := make([]*apiv1.Setting, 0, len(b.values))
--- a/internal/tree/resolve.go
+++ b/internal/tree/resolve.go
@@ -22,12 +22,28 @@
 // Resolve returns the value of a key at a path. The most specific branch that sets the key takes precedence, then the
 // default of the key. Resolve returns false if no branch sets the key and it has no default.
 func (t *Tree) Resolve(path Path, key string) (Resolved, bool) {
+	return t.Scope(path).Resolve(key)
+}
+
+// Scope is the set of branches whose settings apply at one path, from the least to the most specific.
+type Scope []*Branch
+
+// Scope returns the branches whose settings apply at a path. It is worthwhile where several keys are resolved at the path.
+func (t *Tree) Scope(path Path) Scope {
 	lineage := path.Lineage()
-	for i := len(lineage) - 1; i >= 0; i-- {
-		branch := t.branches[lineage[i]]
-		if branch == nil {
-			continue
+	scope := make(Scope, 0, len(lineage))
+	for _, ancestor := range lineage {
+		if branch := t.branches[ancestor]; branch != nil {
+			scope = append(scope, branch)
 		}
+	}
+	return scope
+}
+
+// Resolve returns the value of a key in the scope; see Tree.Resolve.
+func (s Scope) Resolve(key string) (Resolved, bool) {
+	for i := len(s) - 1; i >= 0; i-- {
+		branch := s[i]
 		if v, ok := branch.values[key]; ok {
 			return Resolved{key, v.text, branch.Path.String(), v.editID, v.operator, v.version}, true
 		}
@@ -84,6 +100,11 @@
 
 // Text resolves a text setting. It returns an empty text if the setting is not set.
 func (t *Tree) Text(path Path, key string) string {
-	resolved, _ := t.Resolve(path, key)
+	return t.Scope(path).Text(key)
+}
+
+// Text resolves a text setting. It returns an empty text if the setting is not set.
+func (s Scope) Text(key string) string {
+	resolved, _ := s.Resolve(key)
 	return resolved.Value
 }
