Take over unchanged routes when a node builds its routing table

The cause found in the control instances, a cost that grows with all routes, stood in the nodes as well: each version and each change of the backend servers parsed the settings of all routes again and sorted them.

The registry now keeps the parsed routes.

--- a/internal/routing/host_matcher.go
+++ b/internal/routing/host_matcher.go
@@ -1,33 +1,23 @@
 package routing
 
 import (
-	"sort"
+	"slices"
 	"strings"
-
-	"samphireflow/internal/tree"
 )
 
 // hostMatcher finds the route of a call by host and path prefix. It holds the routes of each host in lower case, the
 // longest prefix first.
-type hostMatcher map[string][]hostRoute
-
-// hostRoute is a route with the path prefix that it matches.
-type hostRoute struct {
-	prefix string
-	route  *Route
-}
+type hostMatcher map[string][]*Route
 
 func newHostMatcher(routes []*Route) hostMatcher {
 	m := hostMatcher{}
 	for _, route := range routes {
-		v := readValues(route.Config.Settings)
-		host, prefix := strings.ToLower(v[tree.KeyRouteHost]), v[tree.KeyRoutePrefix]
-		if host != "" && prefix != "" {
-			m[host] = append(m[host], hostRoute{prefix, route})
+		if route.host != "" && route.prefix != "" {
+			m[route.host] = append(m[route.host], route)
 		}
 	}
 	for _, list := range m {
-		sort.SliceStable(list, func(i, j int) bool { return len(list[i].prefix) > len(list[j].prefix) })
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.prefix) - len(a.prefix) })
 	}
 	return m
 }
@@ -40,7 +30,7 @@
 	}
 	for _, candidate := range m[strings.ToLower(host)] {
 		if strings.HasPrefix(path, candidate.prefix) {
-			return candidate.route
+			return candidate
 		}
 	}
 	return nil
--- a/internal/routing/path_matcher.go
+++ b/internal/routing/path_matcher.go
@@ -1,10 +1,6 @@
 package routing
 
-import (
-	"strings"
-
-	apiv1 "samphireflow/api/v1"
-)
+import "strings"
 
 // wildcard is the suffix of a route's path that matches the path before it and everything below.
 const wildcard = "/*"
@@ -53,11 +49,3 @@
 		path = path[:slash]
 	}
 }
-
-// Route is a route with parsed settings.
-type Route struct {
-	Config   *apiv1.RouteConfig
-	Settings RouteSettings
-	// Limit bounds the rate of calls, nil for no limit.
-	Limit *Resource
-}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -11,10 +11,11 @@
 // Server is a backend server as one node knows it. Its load and statistics are kept when a new table is built.
 type Server = balance.Server
 
-// Registry keeps the load and statistics of each incarnation of a backend server between builds of the table. It is not
-// safe for concurrent use; the goroutine that builds tables owns it.
+// Registry keeps the load and statistics of each incarnation of a backend server, and the routes, between builds of the
+// table. It is not safe for concurrent use; the goroutine that builds tables owns it.
 type Registry struct {
 	servers map[serverKey]*Server
+	routes  *routeSet
 }
 
 // serverKey identifies one incarnation of a backend server. After a restart the backend server has another key, as has
@@ -26,7 +27,13 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{servers: map[serverKey]*Server{}}
+	return &Registry{servers: map[serverKey]*Server{}, routes: newRouteSet()}
+}
+
+// nextRoutes returns the routes of a snapshot and keeps them for the next build.
+func (r *Registry) nextRoutes(snap *apiv1.Snapshot) *routeSet {
+	r.routes = r.routes.next(snap)
+	return r.routes
 }
 
 // Update returns the servers with their load and statistics, and removes those of servers that are no longer listed.
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -95,8 +95,7 @@
 	}
 }
 
-func parseRouteSettings(settings []*apiv1.Setting) RouteSettings {
-	v := readValues(settings)
+func parseRouteSettings(v values) RouteSettings {
 	return RouteSettings{
 		CallTimeout:    v.duration(tree.KeyCallTimeout),
 		RetryLimit:     v.integer(tree.KeyRetryLimit),
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -43,18 +43,16 @@
 // immutable.
 type Table struct {
 	Snapshot *apiv1.Snapshot
-	paths    *pathMatcher
-	hosts    hostMatcher
 	// CallerLimits bounds the requests of callers.
 	CallerLimits CallerLimits
 	services     map[string]*Service
-	routes       []*Route
+	routes       *routeSet
 	// nodeAddrs holds the control addresses that NodeAddrs returns.
 	nodeAddrs []string
 }
 
 // Build returns the table of a validated configuration snapshot and the announced backend servers. The registry keeps
-// the load and statistics of backend servers between builds.
+// the load and statistics of backend servers, and unchanged routes, between builds.
 func Build(snap *apiv1.Snapshot, servers []*apiv1.BackendServer, registry *Registry) *Table {
 	t := &Table{Snapshot: snap, services: make(map[string]*Service, len(snap.Services))}
 	ready, draining := groupByService(servers, registry)
@@ -63,9 +61,7 @@
 		service.Draining = draining[config.Name]
 		t.services[config.Name] = service
 	}
-	t.routes = buildRoutes(snap)
-	t.paths = newPathMatcher(t.routes)
-	t.hosts = newHostMatcher(t.routes)
+	t.routes = registry.nextRoutes(snap)
 	t.CallerLimits = parseCallerLimits(snap.Settings)
 	t.nodeAddrs = controlAddrs(servers)
 	return t
@@ -92,27 +88,7 @@
 
 // LongestRetention returns the longest time for which any route keeps claims.
 func (t *Table) LongestRetention() time.Duration {
-	var longest time.Duration
-	for _, route := range t.routes {
-		longest = max(longest, route.Settings.ClaimRetention)
-	}
-	return longest
-}
-
-func buildRoutes(snap *apiv1.Snapshot) []*Route {
-	resources := make(map[string]*Resource, len(snap.Resources))
-	for _, config := range snap.Resources {
-		resources[config.Name] = parseResource(config)
-	}
-	routes := make([]*Route, 0, len(snap.Routes))
-	for _, config := range snap.Routes {
-		routes = append(routes, &Route{
-			Config:   config,
-			Settings: parseRouteSettings(config.Settings),
-			Limit:    resources[config.RateLimit],
-		})
-	}
-	return routes
+	return t.routes.longestRetention()
 }
 
 // groupByService updates the registry and returns the ready and the draining backend servers by the name of their
@@ -151,12 +127,12 @@
 
 // Match returns the route for the method and path of a call, nil when there is none.
 func (t *Table) Match(method, path string) *Route {
-	return t.paths.match(method, path)
+	return t.routes.paths.match(method, path)
 }
 
 // MatchHost returns the route for the host and path of a call, nil when there is none.
 func (t *Table) MatchHost(host, path string) *Route {
-	return t.hosts.match(host, path)
+	return t.routes.hosts.match(host, path)
 }
 
 // Service returns the service with a name, nil when there is none.
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -37,3 +38,29 @@
 	require.Len(t, table.Service("rota").Versions, 1)
 	require.Len(t, table.Service("rota").Versions[0].Local, 1)
 }
+
+// TestBuildTakesOverUnchangedRoutes guards the cost of a build, which must not grow with the routes that stay as they are.
+func TestBuildTakesOverUnchangedRoutes(t *testing.T) {
+	route := func(name, timeout string) *apiv1.RouteConfig {
+		return &apiv1.RouteConfig{Name: name, RateLimit: "budget", Settings: []*apiv1.Setting{
+			{Key: "route.host", Value: "Rota.example"}, {Key: "route.prefix", Value: "/" + name + "/"}, {Key: "call.timeout", Value: timeout},
+		}}
+	}
+	budget := func(rate string) []*apiv1.ResourceConfig {
+		return []*apiv1.ResourceConfig{{Name: "budget", Settings: []*apiv1.Setting{{Key: "resource.calls-per-second", Value: rate}}}}
+	}
+	registry := NewRegistry()
+	lookup := route("lookup", "1s")
+	first := Build(&apiv1.Snapshot{Routes: []*apiv1.RouteConfig{route("book", "1s"), lookup}, Resources: budget("5")}, nil, registry)
+	require.Same(t, first.routes, Build(first.Snapshot, nil, registry).routes, "a change of backend servers")
+
+	second := Build(&apiv1.Snapshot{Routes: []*apiv1.RouteConfig{route("book", "2s"), lookup}, Resources: budget("5")}, nil, registry)
+	require.Same(t, first.MatchHost("rota.example", "/lookup/1"), second.MatchHost("rota.example:80", "/lookup/1"))
+	require.Equal(t, 2*time.Second, second.MatchHost("rota.example", "/book/1").Settings.CallTimeout)
+	require.Equal(t, time.Second, first.MatchHost("rota.example", "/book/1").Settings.CallTimeout)
+
+	third := Build(&apiv1.Snapshot{Routes: second.Snapshot.Routes, Resources: budget("7")}, nil, registry)
+	require.InDelta(t, 7, third.MatchHost("rota.example", "/lookup/1").Limit.PerSecond, 0)
+	fourth := Build(&apiv1.Snapshot{Resources: budget("7")}, nil, registry)
+	require.Nil(t, fourth.MatchHost("rota.example", "/lookup/1"))
+}
