--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,13 @@
 	formatDeflate
 )
 
+// writers holds unused writers, because each one allocates more than a megabyte.
+var writers = sync.Pool{New: func() any {
+	// NewWriter fails only for an invalid level.
+	w, _ := flate.NewWriter(nil, flate.BestSpeed)
+	return w
+}}
+
 // Pack compresses data with DEFLATE (RFC 1951) if it is long enough. It packs empty data to nil.
 func Pack(data []byte) []byte {
 	if len(data) == 0 {
@@ -32,8 +40,10 @@
 	}
 	var b bytes.Buffer
 	b.WriteByte(formatDeflate)
-	// NewWriter fails only for an invalid level, and writing to a bytes.Buffer never fails.
-	w, _ := flate.NewWriter(&b, flate.BestSpeed)
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
+	// Writing to a bytes.Buffer never fails.
 	_, _ = w.Write(data)
 	_ = w.Close()
 	return b.Bytes()
