Give nodes all services that share the routes of their services

A node that names the services of its callers (--services) got the routes of these services, but not the other services among which a route splits its calls. Their share of the calls found no service. Seen by reading, while looking for other ways in which a version does not reach a node; the test failed before.

--- a/internal/snapshot/filter.go
+++ b/internal/snapshot/filter.go
@@ -1,7 +1,10 @@
 package snapshot
 
 import (
+	"slices"
+
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/tree"
 )
 
 // Filter reduces successive versions of a snapshot to the part that some services need. It is not safe for concurrent use.
@@ -15,15 +18,18 @@
 	return &Filter{services: services}
 }
 
-// Apply returns the part of a snapshot that the services need: the services, their fallbacks, the routes of all these, and
-// the resources that the routes refer to. Without services it returns the snapshot itself. Services that the snapshot does
+// Apply returns the part of a snapshot that the services need: the services of Closure, their routes, the resources that
+// the routes refer to, and all that does not belong to a service. Without services it returns the snapshot itself. Services that the snapshot does
 // not contain are ignored. The digest of the result covers only the part.
 func (f *Filter) Apply(snap *apiv1.Snapshot) *apiv1.Snapshot {
 	if len(f.services) == 0 {
 		return snap
 	}
 	needed := f.Closure(snap)
-	part := &apiv1.Snapshot{Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain, Assignments: snap.Assignments}
+	part := &apiv1.Snapshot{
+		Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain,
+		Assignments: snap.Assignments,
+	}
 	for _, service := range snap.Services {
 		if needed[service.Name] {
 			part.Services = append(part.Services, service)
@@ -45,23 +51,40 @@
 	return part
 }
 
-// Closure returns the services of the filter and all services that they fall back to, directly or through other services.
-// Services that the snapshot does not contain are ignored.
+// Closure returns the services of the filter and all services that their calls may go to, directly or through other
+// services: those that they fall back to, and those that share their routes. Services that the snapshot does not contain
+// are ignored.
 func (f *Filter) Closure(snap *apiv1.Snapshot) map[string]bool {
-	fallbacks := make(map[string]string, len(snap.Services))
+	leadsTo := make(map[string][]string, len(snap.Services))
 	for _, service := range snap.Services {
-		fallbacks[service.Name] = service.Fallback
+		leadsTo[service.Name] = []string{service.Fallback}
+	}
+	for _, route := range snap.Routes {
+		for _, part := range splitOf(route) {
+			leadsTo[route.Service] = append(leadsTo[route.Service], part.Service)
+		}
 	}
 	needed := make(map[string]bool, len(f.services))
-	for _, name := range f.services {
-		for {
-			fallback, exists := fallbacks[name]
-			if !exists || needed[name] {
-				break
-			}
+	open := slices.Clone(f.services)
+	for len(open) > 0 {
+		name := open[len(open)-1]
+		open = open[:len(open)-1]
+		if next, exists := leadsTo[name]; exists && !needed[name] {
 			needed[name] = true
-			name = fallback
+			open = append(open, next...)
 		}
 	}
 	return needed
 }
+
+// splitOf returns the services that share the calls of a route, nil when there is only one.
+func splitOf(route *apiv1.RouteConfig) tree.Split {
+	for _, setting := range route.Settings {
+		if setting.Key == tree.KeyRouteSplit {
+			// Parsing cannot fail, because the value passed the schema.
+			split, _ := tree.ParseSplit(setting.Value)
+			return split
+		}
+	}
+	return nil
+}
--- a/internal/snapshot/filter_test.go
+++ b/internal/snapshot/filter_test.go
@@ -60,3 +60,13 @@
 		require.Equal(t, to.Digest, got.Digest)
 	})
 }
+
+func TestFilterKeepsServicesThatShareARoute(t *testing.T) {
+	snap := &apiv1.Snapshot{
+		Services: []*apiv1.ServiceConfig{{Name: "desk"}, {Name: "rota"}, {Name: "rota-next", Fallback: "spare"}, {Name: "spare"}},
+		Routes:   []*apiv1.RouteConfig{{Name: "rota/lookup", Service: "rota", Settings: []*apiv1.Setting{{Key: "route.split", Value: "rota=90,rota-next=10"}}}},
+	}
+	filter := NewFilter([]string{"rota"})
+	require.Equal(t, map[string]bool{"rota": true, "rota-next": true, "spare": true}, filter.Closure(snap))
+	require.Len(t, filter.Apply(snap).Services, 3)
+}
