--- a/internal/snapshot/filter.go
+++ b/internal/snapshot/filter.go
@@ -28,7 +28,7 @@
 	needed := f.Closure(snap)
 	part := &apiv1.Snapshot{
 		Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain,
-		Assignments: snap.Assignments,
+		Assignments: snap.Assignments, Settings: snap.Settings,
 	}
 	for _, service := range snap.Services {
 		if needed[service.Name] {
--- a/internal/snapshot/filter_test.go
+++ b/internal/snapshot/filter_test.go
@@ -61,6 +61,11 @@
 	})
 }
 
+func TestFilterKeepsSettingsOfCallers(t *testing.T) {
+	snap := &apiv1.Snapshot{Services: []*apiv1.ServiceConfig{{Name: "rota"}}, Settings: []*apiv1.Setting{{Key: "caller.idle-timeout", Value: "3s"}}}
+	require.Equal(t, snap.Settings, NewFilter([]string{"rota"}).Apply(snap).Settings)
+}
+
 func TestFilterKeepsServicesThatShareARoute(t *testing.T) {
 	snap := &apiv1.Snapshot{
 		Services: []*apiv1.ServiceConfig{{Name: "desk"}, {Name: "rota"}, {Name: "rota-next", Fallback: "spare"}, {Name: "spare"}},
