--- a/internal/distribution/decode.go
+++ b/internal/distribution/decode.go
@@ -12,15 +12,21 @@
 // ErrMalformedResponse is wrapped by the errors of Decode and DecodeMembers about data that cannot be decoded.
 var ErrMalformedResponse = errors.New("unreadable answer")
 
-// Decode applies the configuration in a watch response to the current snapshot and returns the validated next snapshot,
+// UpdateResponse is a response that may carry a packed snapshot or a packed delta.
+type UpdateResponse interface {
+	GetSnapshot() []byte
+	GetDelta() []byte
+}
+
+// Decode applies the configuration in a response to the current snapshot and returns the validated next snapshot,
 // nil when the response carries no configuration. It also returns the version in the response, 0 when the response carries
 // none or it cannot be decoded; on an error this is the refused version. The digester is kept between calls.
-func Decode(digester *snapshot.Digester, current *apiv1.Snapshot, response *apiv1.WatchResponse) (*apiv1.Snapshot, uint64, error) {
-	switch {
-	case len(response.Delta) > 0:
-		return decodeDelta(digester, current, response.Delta)
-	case len(response.Snapshot) > 0:
-		return decodeSnapshot(digester, response.Snapshot)
+func Decode(digester *snapshot.Digester, current *apiv1.Snapshot, response UpdateResponse) (*apiv1.Snapshot, uint64, error) {
+	switch delta, whole := response.GetDelta(), response.GetSnapshot(); {
+	case len(delta) > 0:
+		return decodeDelta(digester, current, delta)
+	case len(whole) > 0:
+		return decodeSnapshot(digester, whole)
 	}
 	return nil, 0, nil
 }
--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -63,7 +63,8 @@
 	response.Released = released
 	response.AgeMs = uint64(r.state.Age().Milliseconds())
 	if newest.GetVersion() > request.Version {
-		response.Snapshot = newest
+		update := r.state.held.UpdateFrom(nil, request.Version, request.Digest)
+		response.Snapshot, response.Delta = update.Snapshot, update.Delta
 	}
 	return response, nil
 }
--- a/internal/distribution/relay_state.go
+++ b/internal/distribution/relay_state.go
@@ -19,7 +19,8 @@
 	failureDomain string
 	instance      string
 	started       time.Time
-	// released holds the versions that are served to watchers.
+	// held holds all versions, and released those that are served to watchers.
+	held     *History
 	released *History
 
 	// digestMu guards digester.
@@ -52,6 +53,7 @@
 		failureDomain:  options.FailureDomain,
 		instance:       options.Instance,
 		started:        now,
+		held:           NewHistory(),
 		released:       NewHistory(),
 		tracker:        NewAckTracker(options.Instance),
 		releaseChanged: make(chan struct{}),
@@ -73,6 +75,7 @@
 		return errors.Wrapf(ErrStale, "term %d, held %d", snap.Term, s.newest.Term)
 	}
 	s.newest = snap
+	s.held.Put(snap)
 	s.unreleased = append(s.unreleased, snap)
 	s.accepted = max(s.accepted, snap.Version)
 	s.refusedVersion, s.refusal = 0, ""
@@ -111,8 +114,8 @@
 	return s.recordRefusal(snap.Version, err)
 }
 
-// decode applies the configuration in a watch response to a held version; see Decode.
-func (s *relayState) decode(held *apiv1.Snapshot, response *apiv1.WatchResponse) (*apiv1.Snapshot, uint64, error) {
+// decode applies a configuration update to a held version; see Decode.
+func (s *relayState) decode(held *apiv1.Snapshot, response UpdateResponse) (*apiv1.Snapshot, uint64, error) {
 	s.digestMu.Lock()
 	defer s.digestMu.Unlock()
 	return Decode(&s.digester, held, response)
--- a/internal/distribution/relay_sync.go
+++ b/internal/distribution/relay_sync.go
@@ -61,15 +61,18 @@
 // syncPeer sends another relay the newest held version and the leases that are renewed here, and adds the version that
 // the other relay returns.
 func (r *Relay) syncPeer(ctx context.Context, to *syncTarget) error {
-	response, err := r.sync(ctx, to, r.state.Age() > controlContactTimeout)
+	held, _ := r.state.newestVersions()
+	response, err := r.sync(ctx, to, held, r.state.Age() > controlContactTimeout)
 	if err != nil {
 		return err
 	}
 	r.state.recordRelayStatus(response.Instance, response.Synced, response.Version, response.Released)
-	if snap := response.Snapshot; snap != nil {
-		if err := r.state.addVersion(snap); err != nil {
-			r.options.Logger.Debug().Err(err).Str("relay", to.client.Addr).Msg("version of another relay refused")
-		}
+	next, _, err := r.state.decode(held, response)
+	if err == nil && next != nil {
+		err = r.state.addVersion(next)
+	}
+	if err != nil {
+		r.options.Logger.Debug().Err(err).Str("relay", to.client.Addr).Msg("version of another relay refused")
 	}
 	return nil
 }
@@ -78,15 +81,17 @@
 // instance is the primary.
 func (r *Relay) syncControl(ctx context.Context, index int, to *syncTarget) error {
 	primary := r.primary.get() == index
-	_, err := r.sync(ctx, to, primary)
+	held, _ := r.state.newestVersions()
+	_, err := r.sync(ctx, to, held, primary)
 	if err != nil && primary {
 		r.primary.failOver(index)
 	}
 	return err
 }
 
-func (r *Relay) sync(ctx context.Context, to *syncTarget, wantMembers bool) (*apiv1.SyncResponse, error) {
-	request := r.syncRequest()
+// sync exchanges leases and versions with another process. The response may carry an update from the held version.
+func (r *Relay) sync(ctx context.Context, to *syncTarget, held *apiv1.Snapshot, wantMembers bool) (*apiv1.SyncResponse, error) {
+	request := r.syncRequest(held)
 	request.WantMembers = wantMembers
 	response, err := to.exchange(ctx, request, r.hub)
 	if err != nil {
@@ -100,15 +105,16 @@
 }
 
 // syncRequest returns a request with the state of this relay, without leases.
-func (r *Relay) syncRequest() *apiv1.SyncRequest {
-	synced, version := r.state.syncStatus()
+func (r *Relay) syncRequest(held *apiv1.Snapshot) *apiv1.SyncRequest {
+	synced, _ := r.state.syncStatus()
 	_, released := r.state.newestVersions()
 	return &apiv1.SyncRequest{
 		Instance:      r.options.Instance,
 		FailureDomain: r.options.FailureDomain,
 		ControlAddr:   r.options.ControlAddr,
 		Synced:        synced,
-		Version:       version,
+		Version:       held.GetVersion(),
+		Digest:        held.GetDigest(),
 		Released:      released,
 		Relays:        r.state.currentRelays(),
 	}
