--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -18,6 +18,8 @@
 	maxHeaderBytes = 256 << 10
 	// readBufferSize is the size of a connection's read buffer. Most responses are shorter.
 	readBufferSize = 4 << 10
+	// maxSkippedBody bounds the body of a late response that is skipped in bytes. Above it a new connection is cheaper.
+	maxSkippedBody = 64 << 10
 	// maxStaleResponses is the number of late responses to earlier requests after which an exchange fails.
 	maxStaleResponses = 3
 	// unlimited is greater than the length of any body.
@@ -106,7 +108,7 @@
 		if want == "" || response.Header.Get(request.EchoHeader) == want {
 			return response, nil
 		}
-		if response.Close || response.ContentLength < 0 {
+		if response.Close || response.ContentLength < 0 || response.ContentLength > maxSkippedBody {
 			return nil, errResponseMismatch
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
