Close the connection of a refusal whose body does not end

A backend server that refuses a call with a long body, or one that never ends, kept its connection open until the deadline of the call, because the gate used the status and left the body unread. The gate now ends the exchange. Found while looking for answers without end; the test failed before for both kinds of refusal.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -292,8 +292,10 @@
 	names := g.options.Headers
 	switch {
 	case response.Header.Get(names.NotRun) != "":
+		closeRest(response)
 		return refusal(calls.ReasonShed, "the backend server refused with status "+strconv.Itoa(response.Status))
 	case response.Status == statusMisdirected:
+		closeRest(response)
 		return refusal(calls.ReasonMisdirected, "another backend server has the address")
 	case response.Header.Get("Content-Encoding") != "":
 		return discardResponse(response, "the answer is encoded, which nobody asked for")
@@ -311,9 +313,14 @@
 
 // discardResponse closes the response and returns the result of a call whose outcome is unknown.
 func discardResponse(response *exchange.Response, detail string) *calls.Result {
+	closeRest(response)
+	return &calls.Result{Outcome: calls.Unknown, Reason: calls.ReasonBroken, Detail: detail}
+}
+
+// closeRest ends the exchange of a response of which nothing more is wanted, so that its connection does not stay open.
+func closeRest(response *exchange.Response) {
 	if response.Rest != nil {
-		// Close aborts the exchange. Its error is of no use, since the response is discarded.
+		// The error is of no use, since the response is discarded.
 		_ = response.Rest.Close()
 	}
-	return &calls.Result{Outcome: calls.Unknown, Reason: calls.ReasonBroken, Detail: detail}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -76,3 +77,43 @@
 	require.Equal(t, calls.Answered, pass().Outcome)
 	require.Equal(t, calls.Answered, pass().Outcome)
 }
+
+// TestRefusalWithAnEndlessBodyClosesItsConnection lets the backend server refuse a call with a body that does not end. The
+// gate has no use for the body and must not keep the connection open until the deadline of the call.
+func TestRefusalWithAnEndlessBodyClosesItsConnection(t *testing.T) {
+	for name, head := range map[string]string{
+		"shed":        "HTTP/1.1 503 Full\r\n" + calls.DefaultHeaders().NotRun + ": 1\r\n",
+		"misdirected": "HTTP/1.1 421 Misdirected Request\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err = conn.Write([]byte(head + calls.DefaultHeaders().RequestID + ": 1\r\n\r\n"))
+				for err == nil {
+					_, err = conn.Write(make([]byte, 16<<10))
+				}
+			}()
+			clock := time.Now()
+			g, _ := newTestGate(listener.Addr().String(), &clock)
+			result := g.Pass(context.Background(), newTestCall(clock), "a", clock.Add(time.Second))
+			require.Equal(t, calls.NotRun, result.Outcome)
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				require.Fail(t, "the connection stays open")
+			}
+		})
+	}
+}
