Keep lists that do not change once for all versions

Each version that is kept as a base of deltas, up to 256 for each failure domain, had its own lists of all routes: 9 KB a version for 1,100 routes, and in a relay twice since it keeps the held ones. Lists that do not change are now shared, which also lets the next step see at once that nothing changed.

--- a/internal/distribution/relay_state.go
+++ b/internal/distribution/relay_state.go
@@ -74,8 +74,9 @@
 	if s.newest != nil && snap.Term < s.newest.Term {
 		return errors.Wrapf(ErrStale, "term %d, held %d", snap.Term, s.newest.Term)
 	}
-	s.newest = snap
 	s.held.Put(snap)
+	snap = s.held.Newest()
+	s.newest = snap
 	s.unreleased = append(s.unreleased, snap)
 	s.accepted = max(s.accepted, snap.Version)
 	s.refusedVersion, s.refusal = 0, ""
--- a/internal/snapshot/builder.go
+++ b/internal/snapshot/builder.go
@@ -44,7 +44,7 @@
 	sortEntities(snap.Resources)
 	snap.Services = shareUnchangedEntities(b.snap.Services, snap.Services)
 	snap.Resources = shareUnchangedEntities(b.snap.Resources, snap.Resources)
-	snap.Routes = b.buildRoutes(view.Tree)
+	snap.Routes = shareUnchangedEntities(b.snap.Routes, b.buildRoutes(view.Tree))
 	snap.Assignments = assignmentsFor(view, b.failureDomain)
 	global := view.Tree.Scope(tree.Path{Level: tree.LevelGlobal}.ForSite(b.failureDomain))
 	snap.Settings = resolveSettings(global, callerKeys)
--- a/internal/snapshot/builder_test.go
+++ b/internal/snapshot/builder_test.go
@@ -101,3 +101,14 @@
 		}
 	})
 }
+
+// TestUnchangedRoutesAreKeptOnceForAllVersions guards the memory of the versions that are kept as bases of deltas.
+func TestUnchangedRoutesAreKeptOnceForAllVersions(t *testing.T) {
+	m := state.NewMachine()
+	applyEdit(t, m, "e1", branchEdit("/services/rota", 0), branchEdit("/services/rota/routes/r0", 0, "route.host", "rota.example", "route.prefix", "/r0/"))
+	builder := NewBuilder("hobart")
+	first := builder.Build(m.View())
+	applyEdit(t, m, "e2", branchEdit("/", 0, "caller.idle-timeout", "3s"))
+	second := ShareUnchanged(first, builder.Build(m.View()))
+	require.Same(t, &first.Routes[0], &second.Routes[0])
+}
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -133,6 +133,8 @@
 	return shared
 }
 
+// shareUnchangedEntities returns the later of two lists with the unchanged entities of the earlier one. It returns one of
+// the two lists itself where that is the same.
 func shareUnchangedEntities[E entity](from, to []E) []E {
 	list := make([]E, 0, len(to))
 	eachPair(from, to, func(before E, inFrom bool, after E, inTo bool) {
@@ -144,6 +146,11 @@
 			list = append(list, after)
 		}
 	})
+	for _, same := range [][]E{from, to} {
+		if slices.EqualFunc(list, same, func(a, b E) bool { return any(a) == any(b) }) {
+			return same
+		}
+	}
 	return list
 }
 
