Report a version that a relay refuses at once

A node renews its leases in a short form while its records have the same revision. The refusal by the relay in its process changed no revision, so that it was reported only if something else did within the 10 s of the test.

--- a/internal/distribution/relay_options.go
+++ b/internal/distribution/relay_options.go
@@ -17,5 +17,7 @@
 	// Control lists the control addresses of the control instances.
 	Control []string
 	Client  *http.Client
-	Logger  zerolog.Logger
+	// OnRefusal is called after the relay has refused another version than before; it may be nil.
+	OnRefusal func()
+	Logger    zerolog.Logger
 }
--- a/internal/distribution/relay_state.go
+++ b/internal/distribution/relay_state.go
@@ -19,6 +19,8 @@
 	failureDomain string
 	instance      string
 	started       time.Time
+	// onRefusal is RelayOptions.OnRefusal.
+	onRefusal func()
 	// held holds all versions, and released those that are served to watchers.
 	held     *History
 	released *History
@@ -53,6 +55,7 @@
 		failureDomain:  options.FailureDomain,
 		instance:       options.Instance,
 		started:        now,
+		onRefusal:      options.OnRefusal,
 		held:           NewHistory(),
 		released:       NewHistory(),
 		tracker:        NewAckTracker(options.Instance),
@@ -127,10 +130,19 @@
 	if err == nil {
 		return nil
 	}
+	if s.setRefused(version, err.Error()) && s.onRefusal != nil {
+		s.onRefusal()
+	}
+	return err
+}
+
+// setRefused stores a refused version and the reason, and reports whether they differ from the last ones.
+func (s *relayState) setRefused(version uint64, refusal string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refusedVersion, s.refusal = version, err.Error()
-	return err
+	changed := version != s.refusedVersion || refusal != s.refusal
+	s.refusedVersion, s.refusal = version, refusal
+	return changed
 }
 
 func (s *relayState) refused() (uint64, string) {
--- a/internal/distribution/relay_sync_test.go
+++ b/internal/distribution/relay_sync_test.go
@@ -33,3 +33,16 @@
 	require.True(t, proto.Equal(second, next), "a relay without a version gets the whole snapshot")
 	require.Empty(t, sync(second).Delta)
 }
+
+// TestRelayReportsEachRefusalOnce guards against a refusal that the node of the relay never learns of.
+func TestRelayReportsEachRefusalOnce(t *testing.T) {
+	reported := 0
+	relay := NewRelay(RelayOptions{Instance: "a", FailureDomain: "north", OnRefusal: func() { reported++ }})
+	dangling := &apiv1.Snapshot{Version: 1, FailureDomain: "north", Routes: []*apiv1.RouteConfig{{Name: "r", Service: "absent"}}}
+	dangling.Digest = snapshot.Digest(dangling)
+	require.Error(t, relay.state.addVersion(dangling))
+	require.Error(t, relay.state.addVersion(dangling))
+	require.Equal(t, 1, reported)
+	require.NoError(t, relay.state.addVersion(versionOf(2)))
+	require.Equal(t, 1, reported)
+}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -37,8 +37,7 @@
 		return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
 	}
 	if n.storeAnnouncement(request.Server) {
-		n.bumpRevision()
-		n.wakeRenewal()
+		n.renewWithNewRevision()
 	}
 	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
 }
@@ -129,6 +128,5 @@
 		n.announced.advertised = n.toAdvertise(n.announced.server)
 	}
 	n.mu.Unlock()
-	n.bumpRevision()
-	n.wakeRenewal()
+	n.renewWithNewRevision()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,7 @@
 		Incarnation:   n.incarnation,
 		Control:       options.Control,
 		Client:        options.Client,
+		OnRefusal:     n.renewWithNewRevision,
 		Logger:        options.Logger,
 	})
 	n.ownRelay = &distribution.Client{Addr: options.ControlAddr, Distribution: n.relay, Membership: n.relay, Relay: n.relay}
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -18,6 +18,13 @@
 	}
 }
 
+// renewWithNewRevision makes the renewal loop send complete records at once. Without a new revision a renewal is short and
+// says nothing of what has changed.
+func (n *Node) renewWithNewRevision() {
+	n.bumpRevision()
+	n.wakeRenewal()
+}
+
 // bumpRevision gives the records of the next renewal a new revision. It is taken from the clock if that is higher, so that
 // it is also above the revisions of an earlier process of this instance.
 func (n *Node) bumpRevision() {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -218,8 +218,7 @@
 		LastWatchResponse: time.Now(),
 	})
 	if renew {
-		n.bumpRevision()
-		n.wakeRenewal()
+		n.renewWithNewRevision()
 	}
 }
 
