Bound the header of a response that the proxy takes

A response header without end was buffered up to the limit of net/http, 10 MB for each call, on nodes of 64 MB.

--- a/internal/proxy/conn_pool.go
+++ b/internal/proxy/conn_pool.go
@@ -76,6 +76,8 @@
 		MaxIdleConnsPerHost: int(max(server.Info.Connections, minIdleConnections)),
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	p.tracedTransport = tracing.Transport(p.transport)
 	return p
--- a/internal/proxy/gate_server.go
+++ b/internal/proxy/gate_server.go
@@ -52,6 +52,8 @@
 			MaxIdleConnsPerHost: own,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 	s.tracedTransport = tracing.Transport(s.transport)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,8 @@
 	idleGateConnections = 4
 	// maxResponseBytes is the length of the longest response body that is forwarded.
 	maxResponseBytes = 8 << 20
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 256 << 10
 )
 
 // Proxy forwards calls to backend servers according to the newest routing table.
@@ -65,6 +67,8 @@
 		MaxIdleConnsPerHost: idleGateConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	p.tracedGateTransport = tracing.Transport(p.gateTransport)
 	return p
