--- a/internal/control/adopt_loop.go
+++ b/internal/control/adopt_loop.go
@@ -48,7 +48,7 @@
 	counts := map[string]int{}
 	best := ""
 	for _, server := range servers {
-		if server.Service != service || server.State != apiv1.ServerState_SERVER_STATE_READY {
+		if server.Service != service || server.Version == "" || server.State != apiv1.ServerState_SERVER_STATE_READY {
 			continue
 		}
 		counts[server.Version]++
