--- a/internal/distribution/history.go
+++ b/internal/distribution/history.go
@@ -85,7 +85,7 @@
 	return update
 }
 
-// Closure returns the services that can be reached by fallback from the requested ones, these included; nil means all
+// Closure returns the services that calls of the requested ones may go to, these included; see snapshot.Filter. nil means all
 // services.
 func (h *History) Closure(services []string) map[string]bool {
 	if len(services) == 0 {
