Count the distribution of a version for that version

When a version is applied, the watchers may wake and be served before the loop that begins its statistics: its updates were then counted for the version before, with the time since that one. Whoever works on a version first now begins its statistics; the test failed to compile before and shows the order.

--- a/internal/control/serving_loop.go
+++ b/internal/control/serving_loop.go
@@ -14,7 +14,10 @@
 		changed := s.options.Machine.Changed()
 		if version := s.options.Machine.View().Version; version != last {
 			last = version
-			s.logServed(s.watchServer.Stats().Begin(version, time.Now()))
+			s.watchServer.Stats().Begin(version, time.Now())
+			for _, served := range s.watchServer.Stats().Finished() {
+				s.logServed(served)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -25,9 +28,6 @@
 }
 
 func (s *Server) logServed(served distribution.ServedVersion) {
-	if served.Version == 0 {
-		return
-	}
 	s.options.Logger.Info().Uint64("version", served.Version).Dur("build_ms", served.Build).Dur("encode_ms", served.Encode).
 		Int("deltas", served.Deltas).Int("snapshots", served.Snapshots).Int("bytes", served.Bytes).
 		Dur("first_ms", served.FirstResponse).Dur("last_ms", served.LastResponse).Msg("configuration version distributed")
--- a/internal/control/snapshot_builder.go
+++ b/internal/control/snapshot_builder.go
@@ -14,7 +14,7 @@
 	mu      sync.Mutex
 	domains map[string]*domainSnapshots
 	// recordBuild receives the time that building a snapshot took.
-	recordBuild func(took time.Duration)
+	recordBuild func(version uint64, took time.Duration)
 }
 
 // domainSnapshots holds the snapshots of one failure domain.
@@ -23,7 +23,7 @@
 	history *distribution.History
 }
 
-func newSnapshotBuilder(recordBuild func(took time.Duration)) *snapshotBuilder {
+func newSnapshotBuilder(recordBuild func(version uint64, took time.Duration)) *snapshotBuilder {
 	return &snapshotBuilder{recordBuild: recordBuild, domains: map[string]*domainSnapshots{}}
 }
 
@@ -42,7 +42,7 @@
 		return history, nil
 	}
 	started := time.Now()
-	defer func() { b.recordBuild(time.Since(started)) }()
+	defer func() { b.recordBuild(view.Version, time.Since(started)) }()
 	snap := domain.builder.Build(view)
 	if err := domain.builder.Check(snap); err != nil {
 		return history, err
--- a/internal/distribution/serving_stats.go
+++ b/internal/distribution/serving_stats.go
@@ -28,26 +28,48 @@
 	current ServedVersion
 	// appliedAt is the time at which the process applied the current version.
 	appliedAt time.Time
-	totals    ServingTotals
+	// finished holds the versions before the current one that Finished has not returned yet.
+	finished []ServedVersion
+	totals   ServingTotals
 }
 
 func newServingStats() *ServingStats {
 	return &ServingStats{totals: ServingTotals{Delays: make([]uint64, len(DelayBuckets))}}
 }
 
-// Begin records that the process has applied a version, and returns the statistics of the version before.
-func (s *ServingStats) Begin(version uint64, now time.Time) ServedVersion {
+// Begin records that the process has applied a version.
+func (s *ServingStats) Begin(version uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	previous := s.current
+	s.begin(version, now)
+}
+
+// begin makes a version the current one if it is newer. Whoever works on a version first calls it, because the watchers wake
+// in no particular order. The caller must hold mu.
+func (s *ServingStats) begin(version uint64, now time.Time) {
+	if version <= s.current.Version {
+		return
+	}
+	if s.current.Version > 0 {
+		s.finished = append(s.finished, s.current)
+	}
 	s.current, s.appliedAt = ServedVersion{Version: version}, now
-	return previous
 }
 
-// RecordBuild adds the time that building a snapshot took.
-func (s *ServingStats) RecordBuild(took time.Duration) {
+// Finished returns the versions that were replaced by newer ones since the last call.
+func (s *ServingStats) Finished() []ServedVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	finished := s.finished
+	s.finished = nil
+	return finished
+}
+
+// RecordBuild adds the time that building a snapshot of a version took until now.
+func (s *ServingStats) RecordBuild(version uint64, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.begin(version, time.Now().Add(-took))
 	s.current.Build += took
 	s.totals.Build += took
 }
@@ -59,7 +81,7 @@
 	s.totals.Encode += took
 }
 
-// recordResponse adds a response with an encoded snapshot or delta.
+// recordResponse adds a response with an encoded snapshot or delta of the newest version.
 func (s *ServingStats) recordResponse(snapshot, delta []byte, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
