--- a/internal/distribution/history.go
+++ b/internal/distribution/history.go
@@ -85,8 +85,8 @@
 	return update
 }
 
-// Closure returns the services that calls of the requested ones may go to, these included; see snapshot.Filter. nil means all
-// services.
+// Closure returns the services that calls of the requested ones may go to, these included; see snapshot.Filter. It returns
+// nil, which means all services, when none are requested.
 func (h *History) Closure(services []string) map[string]bool {
 	if len(services) == 0 {
 		return nil
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -18,7 +18,7 @@
 	maxHeaderBytes = 256 << 10
 	// readBufferSize is the size of a connection's read buffer. Most responses are shorter.
 	readBufferSize = 4 << 10
-	// maxSkippedBody bounds the body of a late response that is skipped in bytes. Above it a new connection is cheaper.
+	// maxSkippedBody bounds the body, in bytes, of a late response that is skipped. Above it a new connection is cheaper.
 	maxSkippedBody = 64 << 10
 	// maxStaleResponses is the number of late responses to earlier requests after which an exchange fails.
 	maxStaleResponses = 3
--- a/internal/snapshot/filter.go
+++ b/internal/snapshot/filter.go
@@ -19,8 +19,8 @@
 }
 
 // Apply returns the part of a snapshot that the services need: the services of Closure, their routes, the resources that
-// the routes refer to, and all that does not belong to a service. Without services it returns the snapshot itself. Services that the snapshot does
-// not contain are ignored. The digest of the result covers only the part.
+// the routes refer to, and all that does not belong to a service. Without services it returns the snapshot itself. Services
+// that the snapshot does not contain are ignored. The digest of the result covers only the part.
 func (f *Filter) Apply(snap *apiv1.Snapshot) *apiv1.Snapshot {
 	if len(f.services) == 0 {
 		return snap
