Fetch the members of all homes from one control instance only

Bytes between control instances grew with the square of their number. Each sent the leases at home to all others and also fetched all changes of all homes from each of them, its own leases included, so that a change of one node's record was sent 35 times in a group of 6 and 323 times in one of 18.

A control instance now fetches from one other instance, and from another one after a failed exchange; until it has received a first table it asks all. An instance does not get its own active leases back; ended ones it does get, since it must have its node refute them.

--- a/internal/distribution/member_exchange.go
+++ b/internal/distribution/member_exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 
@@ -11,8 +12,9 @@
 	"samphireflow/internal/member"
 )
 
-// MemberExchange keeps the member tables of the control instances consistent: each instance exchanges its changes with
-// all others.
+// MemberExchange keeps the member tables of the control instances consistent. Each instance sends the leases that are
+// renewed at it to all others, and fetches the leases of all homes from one of them, its source. So a change is sent to an
+// instance twice, however many there are, and still reaches one that is partitioned from the change's home.
 type MemberExchange struct {
 	instance string
 	hub      *member.Hub
@@ -23,7 +25,10 @@
 
 	mu      sync.Mutex
 	targets map[string]*syncTarget
-	synced  bool
+	// source is the address of the peer from which the leases of all homes are fetched; empty before one was chosen and
+	// after an exchange with it failed.
+	source string
+	synced bool
 }
 
 // NewMemberExchange returns an exchange between a hub and the processes that peers returns at the start of each round.
@@ -67,13 +72,38 @@
 		e.targets[addr] = target
 		list = append(list, target)
 	}
+	if e.targets[e.source] == nil {
+		e.source = ""
+		if len(list) > 0 {
+			e.source = list[rand.IntN(len(list))].client.Addr
+		}
+	}
 	return list
 }
 
+// fetchesFrom reports whether the leases of all homes are fetched from a peer: from the source, and from every peer until
+// the first table has been received.
+func (e *MemberExchange) fetchesFrom(addr string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.synced || addr == e.source
+}
+
+// dropSource makes the next round choose another source, if the given peer is the source.
+func (e *MemberExchange) dropSource(addr string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.source == addr {
+		e.source = ""
+	}
+}
+
 func (e *MemberExchange) exchange(ctx context.Context, target *syncTarget) {
-	request := &apiv1.SyncRequest{Instance: e.instance, WantMembers: true, WantNodes: true}
+	fetch := e.fetchesFrom(target.client.Addr)
+	request := &apiv1.SyncRequest{Instance: e.instance, WantMembers: fetch, WantNodes: fetch}
 	response, err := target.exchange(ctx, request, e.hub)
 	if err != nil {
+		e.dropSource(target.client.Addr)
 		e.logger.Debug().Err(err).Str("control", target.client.Addr).Msg("exchange of members failed")
 		return
 	}
--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -86,7 +86,7 @@
 	if request.MembersSource != hub.Source() {
 		since = 0
 	}
-	changes := hub.Changes(since, "")
+	changes := hub.ChangesFor(request.Instance, since)
 	response.MembersSource, response.MembersSeq = hub.Source(), changes.Seq
 	response.Servers, response.MembersFull = changes.Servers, changes.Full
 	if request.WantNodes {
--- a/internal/distribution/sync_target.go
+++ b/internal/distribution/sync_target.go
@@ -52,9 +52,9 @@
 // that the target does not have yet, or all of them with resendAll.
 func (t *syncTarget) unsentChanges(hub *member.Hub, home string) member.Changes {
 	if t.resendAll {
-		return hub.Changes(0, home)
+		return hub.ChangesAt(home, 0)
 	}
-	return hub.Changes(t.sentSeq, home)
+	return hub.ChangesAt(home, t.sentSeq)
 }
 
 // recordSent records that the target has received all changes up to a sequence number. All leases are sent again when the
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -151,13 +151,18 @@
 	return update
 }
 
-// Changes returns the records that changed after a sync sequence number, together with the current number; see
-// Table.Changes.
-func (h *Hub) Changes(since uint64, home string) Changes {
+// ChangesAt returns the changed records of one home; see Table.ChangesAt.
+func (h *Hub) ChangesAt(home string, since uint64) Changes {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	nodes, servers, full := h.table.Changes(since, home)
-	return Changes{Nodes: nodes, Servers: servers, Full: full, Seq: h.table.SyncSeq()}
+	return h.table.ChangesAt(home, since)
+}
+
+// ChangesFor returns the changed records that the process receiver needs; see Table.ChangesFor.
+func (h *Hub) ChangesFor(receiver string, since uint64) Changes {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.ChangesFor(receiver, since)
 }
 
 // HomeDigest returns a digest of the active leases of one home.
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -211,13 +211,21 @@
 	return list
 }
 
-// changed lists the records that changed after a sync sequence number, in order of instance name. An empty home means
-// all homes.
-func (s *leaseSet[R]) changed(since uint64, home string) []R {
+// changedAt lists the records of one home that changed after a sync sequence number, in order of instance name.
+func (s *leaseSet[R]) changedAt(home string, since uint64) []R {
+	return s.changed(since, func(l *lease[R]) bool { return l.record.GetHome() == home })
+}
+
+// changedFor lists the records that changed after a sync sequence number, for the process receiver. Its own active leases
+// are left out, since it has their newest records; their ends are not, since it has its nodes refute them.
+func (s *leaseSet[R]) changedFor(receiver string, since uint64) []R {
+	return s.changed(since, func(l *lease[R]) bool { return l.gone || l.record.GetHome() != receiver })
+}
+
+func (s *leaseSet[R]) changed(since uint64, wanted func(*lease[R]) bool) []R {
 	var list []R
 	for _, instance := range slices.Sorted(maps.Keys(s.leases)) {
-		l := s.leases[instance]
-		if l.syncSeq > since && (home == "" || l.record.GetHome() == home) {
+		if l := s.leases[instance]; l.syncSeq > since && wanted(l) {
 			list = append(list, l.record)
 		}
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -223,13 +223,26 @@
 	return update
 }
 
-// Changes returns the records that changed after a sync sequence number, of one home or, when home is empty, of all
-// homes. The lists are full when since is 0, lower than that of a purged tombstone, or higher than any of this table.
-func (t *Table) Changes(since uint64, home string) (nodes []*apiv1.NodeInfo, servers []*apiv1.BackendServer, full bool) {
+// ChangesAt returns the records of one home that changed after a sync sequence number. The lists are full when since is 0,
+// lower than that of a purged tombstone, or higher than any of this table.
+func (t *Table) ChangesAt(home string, since uint64) Changes {
+	since = t.knownPosition(since)
+	return Changes{Nodes: t.nodes.changedAt(home, since), Servers: t.servers.changedAt(home, since), Full: since == 0, Seq: t.counters.syncSeq}
+}
+
+// ChangesFor returns the records of all homes that changed after a sync sequence number, without the active leases whose
+// home is the receiver. The lists are full in the same cases as those of ChangesAt.
+func (t *Table) ChangesFor(receiver string, since uint64) Changes {
+	since = t.knownPosition(since)
+	return Changes{Nodes: t.nodes.changedFor(receiver, since), Servers: t.servers.changedFor(receiver, since), Full: since == 0, Seq: t.counters.syncSeq}
+}
+
+// knownPosition returns a sync sequence number if this table can tell what changed after it, and otherwise 0.
+func (t *Table) knownPosition(since uint64) uint64 {
 	if since > t.counters.syncSeq || since < t.counters.purgedSyncSeq {
-		since = 0
+		return 0
 	}
-	return t.nodes.changed(since, home), t.servers.changed(since, home), since == 0
+	return since
 }
 
 // HomeDigest returns a digest of the active leases of one home. Tables that agree on these leases have the same digest.
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -58,8 +58,8 @@
 
 // mergeAll merges all records of one table into another.
 func mergeAll(from, to *Table, now time.Time) {
-	nodes, servers, _ := from.Changes(0, "")
-	to.Merge(nodes, servers, now)
+	changes := from.ChangesFor("", 0)
+	to.Merge(changes.Nodes, changes.Servers, now)
 }
 
 func TestNodeRefutesItsEndDeclaredByAnotherTable(t *testing.T) {
@@ -106,10 +106,10 @@
 	home.EndNode(home.OverdueNodes(start.Add(LeaseTime + 1))[0], start.Add(LeaseTime+1))
 	healed := start.Add(2 * tombstoneRetention)
 	home.Expire(healed)
-	_, servers, full := home.Changes(1, "")
-	require.True(t, full)
+	changes := home.ChangesFor("", 1)
+	require.True(t, changes.Full)
 	mergeAll(home, partitioned, healed)
-	partitioned.Reconcile(servers, healed)
+	partitioned.Reconcile(changes.Servers, healed)
 	require.Empty(t, partitioned.Servers())
 	home.Renew(nodeRenewal(1, 1), healed)
 	mergeAll(home, partitioned, healed)
