Space the announcements of applied versions where nodes watch directly

Each version made every node announce a whole record at once, which its control instance passed on to all others: 281 records to each of them for each version, of which a storm brings five a second. Only the list of instances for operators shows the applied version there; relays are planned by it, so nodes that follow relays still announce each version.

A node that watches control instances directly announces the applied version at most each 10 s, and the last one of a storm after it. Refusals are announced at once as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,12 +39,13 @@
 	// status is the state of the applied configuration for operators.
 	status atomic.Pointer[Status]
 
-	// mu guards announced, lastHeartbeat, revision, drainRequested and stopping. announced is the backend server beside
+	// mu guards announced, lastHeartbeat, revision, applied, drainRequested and stopping. announced is the backend server beside
 	// this node, and revision the newest revision of the records of this node and of that backend server.
 	mu            sync.Mutex
 	announced     *announcement
 	lastHeartbeat heartbeat
 	revision      uint64
+	applied       announceSchedule
 	// drainRequested is set while the platform wants the backend server to drain, stopping once this node is about to
 	// stop.
 	drainRequested bool
@@ -108,6 +109,9 @@
 		FailureDomain: options.FailureDomain,
 		ProcessId:     n.incarnation,
 	})
+	if options.Direct {
+		n.applied.interval = appliedInterval
+	}
 	n.bumpRevision()
 	n.status.Store(&Status{})
 	return n
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -31,6 +31,16 @@
 	n.raiseRevisionAbove(uint64(time.Now().UnixMicro()))
 }
 
+// bumpRevisionIfDue gives the records of the next renewal a new revision if an applied version is to be announced.
+func (n *Node) bumpRevisionIfDue(now time.Time) {
+	n.mu.Lock()
+	due := n.applied.due(now)
+	n.mu.Unlock()
+	if due {
+		n.bumpRevision()
+	}
+}
+
 // raiseRevisionAbove gives the records of the next renewal a revision above the given one and all earlier ones.
 func (n *Node) raiseRevisionAbove(revision uint64) {
 	n.mu.Lock()
@@ -58,6 +68,7 @@
 			n.renewOnce(context.WithoutCancel(ctx), to, true)
 			return nil
 		case <-ticker.C:
+			n.bumpRevisionIfDue(time.Now())
 		case <-n.renewNow:
 		case <-switched:
 			n.bumpRevision()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -162,7 +162,10 @@
 	if (changed || membersChanged) && n.applier.current != nil {
 		n.table.Store(routing.Build(n.applier.current, n.directory.Servers(), n.registry))
 	}
-	n.publishStatus(changed || refused != nil)
+	n.publishStatus()
+	if refused != nil || changed && n.announcesApplied() {
+		n.renewWithNewRevision()
+	}
 	if errors.Is(refused, ErrStaleSnapshot) {
 		return refused
 	}
@@ -209,17 +212,21 @@
 	return true, nil
 }
 
-// publishStatus publishes the state of the configuration. With renew set, the lease is renewed at once to report it.
-func (n *Node) publishStatus(renew bool) {
+// announcesApplied reports whether a newly applied version is to be announced now.
+func (n *Node) announcesApplied() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.applied.record(time.Now())
+}
+
+// publishStatus publishes the state of the configuration.
+func (n *Node) publishStatus() {
 	n.status.Store(&Status{
 		Snapshot:          n.applier.current,
 		RefusedVersion:    n.applier.refusedVersion,
 		Refusal:           n.applier.refusal,
 		LastWatchResponse: time.Now(),
 	})
-	if renew {
-		n.renewWithNewRevision()
-	}
 }
 
 // ageQueryTimeout bounds the queries for a fresher upstream, because a partitioned process does not answer.
