Keep the retries of all nodes together within the budget

A gate now measures the share of retries among the runs at its backend server, and the calls of its node earn that much less.

Chains of three services and more are bounded by the sum of two shares only.

The bound of TestRetriesStayWithinTheBudget follows the new share.

--- a/internal/calls/call.go
+++ b/internal/calls/call.go
@@ -28,6 +28,8 @@
 	StreamLength int64
 	// Idempotent is set if the call may run more than once.
 	Idempotent bool
+	// Repeated is set while the call is sent again after an attempt that reached a backend server or may have.
+	Repeated bool
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// Objective is the time by which the response should arrive: the start of the call plus the route's latency objective.
--- a/internal/calls/hop_metadata.go
+++ b/internal/calls/hop_metadata.go
@@ -18,6 +18,7 @@
 	Route      string
 	Priority   int
 	Idempotent bool
+	Repeated   bool
 	Objective  time.Duration
 	Deadline   time.Duration
 	// FinishBy is the time by which the call must be expected to finish, or else it does not wait at the gate.
@@ -26,21 +27,24 @@
 
 // Numbers of fields in HopCallHeader and HopTimesHeader.
 const (
-	hopCallFieldCount  = 4
+	hopCallFieldCount  = 5
 	hopTimesFieldCount = 3
 )
 
 // Write sets the header fields that ReadHopMetadata reads. HopCallHeader holds what is the same for many calls, so that it
 // compresses well; HopTimesHeader holds the times in milliseconds.
 func (h HopMetadata) Write(header http.Header) {
-	idempotent := "0"
-	if h.Idempotent {
-		idempotent = "1"
-	}
-	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), idempotent}, " "))
+	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), formatBool(h.Idempotent), formatBool(h.Repeated)}, " "))
 	header.Set(HopTimesHeader, strings.Join([]string{formatMilliseconds(h.Objective), formatMilliseconds(h.Deadline), formatMilliseconds(h.FinishBy)}, " "))
 }
 
+func formatBool(b bool) string {
+	if b {
+		return "1"
+	}
+	return "0"
+}
+
 func formatMilliseconds(d time.Duration) string {
 	return strconv.FormatInt(d.Milliseconds(), 10)
 }
@@ -51,7 +55,7 @@
 	if len(fields) != hopCallFieldCount {
 		return HopMetadata{}, errors.Errorf("%q does not have %d fields", header.Get(HopCallHeader), hopCallFieldCount)
 	}
-	h := HopMetadata{Idempotent: fields[3] == "1"}
+	h := HopMetadata{Idempotent: fields[3] == "1", Repeated: fields[4] == "1"}
 	var err error
 	if h.Server, err = url.PathUnescape(fields[0]); err != nil {
 		return HopMetadata{}, errors.Wrap(err, "backend server")
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -23,6 +23,8 @@
 	breakerTrialTime = 2 * dialTimeout
 	// defaultSlots is the number of slots of a backend server that announces none.
 	defaultSlots = 10
+	// repeatedWeight makes the share of retries follow about the last 20 runs, those of a second at a busy backend server.
+	repeatedWeight = 0.05
 	// deadlineGrace is the time after the deadline for which the gate still waits for the backend server, which may respond
 	// to the missed deadline itself.
 	deadlineGrace = 50 * time.Millisecond
@@ -58,6 +60,8 @@
 	nextTrial time.Time
 	// breakerOpen is set from the first failed connection attempt until the next response or the next incarnation.
 	breakerOpen bool
+	// repeatedShare is the share of retries among the latest runs, a mean that gives each run the weight repeatedWeight.
+	repeatedShare float64
 }
 
 // serverIncarnation identifies one start of a backend server, with the address and version that it announced.
@@ -85,6 +89,24 @@
 	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots()}
 }
 
+// RepeatedShare returns the share of retries among the latest runs, from 0 to 1.
+func (g *Gate) RepeatedShare() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.repeatedShare
+}
+
+// recordRun updates the share of retries with a run that starts.
+func (g *Gate) recordRun(c *calls.Call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	repeated := 0.0
+	if c.Repeated {
+		repeated = 1
+	}
+	g.repeatedShare += repeatedWeight * (repeated - g.repeatedShare)
+}
+
 // Pass sends a call to the backend server with the given instance name as soon as a slot is free. The call waits for a
 // slot only while its response is expected by finishBy. If the context ends, the call is aborted.
 func (g *Gate) Pass(ctx context.Context, c *calls.Call, instance string, finishBy time.Time) *calls.Result {
@@ -111,6 +133,7 @@
 		g.release(queue, c.Route, 0)
 		return refused
 	}
+	g.recordRun(c)
 	started := g.options.Now()
 	result := g.send(ctx, c, server)
 	result.Latency = g.options.Now().Sub(started)
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -48,6 +48,7 @@
 		Host:       r.Host,
 		Header:     calls.EndToEnd(r.Header),
 		Idempotent: metadata.Idempotent,
+		Repeated:   metadata.Repeated,
 		Priority:   metadata.Priority,
 		Objective:  now.Add(metadata.Objective),
 		Deadline:   now.Add(metadata.Deadline),
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -73,7 +73,7 @@
 	servers := d.ingress.pickServers(service)
 	d.tried = map[string]bool{}
 	d.late = d.ingress.overloads.overloaded(d.service, d.arrived)
-	d.ingress.retries.recordFirstSend(d.service, d.arrived)
+	d.ingress.retries.recordFirstSend(d.service, d.ingress.options.Gate.RepeatedShare(), d.table.ServerCount, d.arrived)
 	ctx, cancel := context.WithDeadline(ctx, d.call.Deadline)
 	defer cancel()
 	for {
@@ -164,6 +164,7 @@
 func (d *dispatch) send(ctx context.Context, server *routing.Server) *calls.Result {
 	info := server.Info
 	server.Stats.Begin(d.ingress.options.Now())
+	d.call.Repeated = d.sends > 0
 	var result *calls.Result
 	if info.Node == d.ingress.options.Instance {
 		result = d.ingress.options.Gate.Pass(ctx, d.call, info.Instance, d.finishBy())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -27,7 +27,7 @@
 
 // New returns an ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, peers: newPeerGates(options.Headers, options.Now), retries: newRetryBudget(), versionBreaker: local.NewBreakers(), overloads: newOverloadTracker()}
+	return &Ingress{options: options, peers: newPeerGates(options.Headers, options.Now), retries: newRetryBudget(options.Retries), versionBreaker: local.NewBreakers(), overloads: newOverloadTracker()}
 }
 
 // ServeHTTP serves one call.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -25,6 +25,8 @@
 	return f(c, instance, finishBy)
 }
 
+func (f gateFunc) RepeatedShare() float64 { return 0 }
+
 // fixture is an ingress with three backend servers of one service and two routes, one of which is idempotent. It records
 // which backend servers the calls were sent to.
 type fixture struct {
@@ -154,7 +156,7 @@
 	for range count {
 		f.call("GET", "/lookup/", "")
 	}
-	require.LessOrEqual(t, float64(len(f.sent)-count), retryShare*count+retryBurst)
+	require.LessOrEqual(t, float64(len(f.sent)-count), RetryLimits{}.share()*count+maxRetryBurst)
 	require.Greater(t, len(f.sent), count)
 }
 
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -14,6 +14,8 @@
 // Gate is the gate of the backend server on this instance; *gate.Gate implements it.
 type Gate interface {
 	Pass(ctx context.Context, c *calls.Call, instance string, finishBy time.Time) *calls.Result
+	// RepeatedShare returns the share of retries among the latest runs at the backend server beside the gate, 0 to 1.
+	RepeatedShare() float64
 }
 
 // Suspects tracks the requests that crash backend servers; *suspect.Tracker implements it.
@@ -34,6 +36,7 @@
 	// Table returns the current routing table, nil before the first one.
 	Table    func() *routing.Table
 	Gate     Gate
+	Retries  RetryLimits
 	Headers  calls.Headers
 	Suspects Suspects
 	Metrics  *Metrics
--- a/internal/ingress/peer_gates.go
+++ b/internal/ingress/peer_gates.go
@@ -46,6 +46,7 @@
 		Route:      c.Route,
 		Priority:   c.Priority,
 		Idempotent: c.Idempotent,
+		Repeated:   c.Repeated,
 		Objective:  c.Objective.Sub(now),
 		Deadline:   c.Deadline.Sub(now),
 		FinishBy:   finishBy.Sub(now),
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -45,8 +45,10 @@
 	Snapshot *apiv1.Snapshot
 	// CallerLimits bounds the requests of callers.
 	CallerLimits CallerLimits
-	services     map[string]*Service
-	routes       *routeSet
+	// ServerCount is the number of announced backend servers, each of which has a node.
+	ServerCount int
+	services    map[string]*Service
+	routes      *routeSet
 	// nodeAddrs holds the control addresses that NodeAddrs returns.
 	nodeAddrs []string
 }
@@ -54,7 +56,7 @@
 // Build returns the table of a validated configuration snapshot and the announced backend servers. The registry keeps
 // the load and statistics of backend servers, and unchanged routes, between builds.
 func Build(snap *apiv1.Snapshot, servers []*apiv1.BackendServer, registry *Registry) *Table {
-	t := &Table{Snapshot: snap, services: make(map[string]*Service, len(snap.Services))}
+	t := &Table{Snapshot: snap, ServerCount: len(servers), services: make(map[string]*Service, len(snap.Services))}
 	ready, draining := groupByService(servers, registry)
 	for _, config := range snap.Services {
 		service := buildService(config, ready[config.Name], snap.FailureDomain)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,10 @@
 	// ShutdownTimeout is the time within which a stopping node with a gate must end. Zero selects the default. Other
 	// processes do not use it.
 	ShutdownTimeout time.Duration `validate:"gte=0" flag:"stop-time"`
+	// RetryRatio is the ratio of retries to the calls of a service that all nodes together keep below, and RetrySlack the
+	// number of further retries that they may send at once. Zero selects the defaults.
+	RetryRatio float64 `validate:"gte=0,lte=1" flag:"retry-ratio"`
+	RetrySlack float64 `validate:"gte=0" flag:"retry-slack"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
 	Seeds []string `validate:"dive,ipport" flag:"seeds"`
 	// Services lists the services that the callers of this node call. An empty list means all services.
@@ -134,6 +138,8 @@
 	flags.DurationVar(&s.StaleAge, "stale-age", 0, "age of news above which a node looks for another control instance; 0 for the default (node)")
 	flags.DurationVar(&s.FloorTimeout, "floor-patience", 0, "longest wait of a started node for the newest version that it may have applied; 0 for no bound (node)")
 	flags.DurationVar(&s.ShutdownTimeout, "stop-time", 0, "time in which a stopping process must have ended; 0 for the default")
+	flags.Float64Var(&s.RetryRatio, "retry-ratio", 0, "ratio of retries to the calls of a service, over all nodes with a gate, 0 to 1; 0 for the default (node)")
+	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return listFlags{
 		peers:            flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
