Let nodes watch a control instance of their failure domain

Without relays a node watched one of three seeds at random, most of them in another failure domain, and stayed wherever a failure had moved it. Each version and each change of a member crossed between failure domains once for each node.

Members of the control group carry their failure domain, and watches hand it to nodes. A node that watches an instance of another failure domain turns to one of its own as soon as that answers with a confirmed version, so that it does not give up a working watch for an instance that is down or partitioned.

--- a/internal/control/watch_source.go
+++ b/internal/control/watch_source.go
@@ -53,12 +53,12 @@
 	return s.memberExchange.Synced() || s.now().Sub(s.started) > distribution.MembersGrace
 }
 
-// ControlAddrs returns the control addresses of the control group, so that nodes learn of instances that are not in their
+// ControlInstances returns the members of the control group, so that nodes learn of instances that are not in their
 // settings.
-func (s watchSource) ControlAddrs() []string {
-	var addrs []string
+func (s watchSource) ControlInstances() []*apiv1.ControlInstance {
+	var list []*apiv1.ControlInstance
 	for _, member := range s.options.Log.Status().Members {
-		addrs = append(addrs, member.ControlAddr)
+		list = append(list, &apiv1.ControlInstance{ControlAddr: member.ControlAddr, FailureDomain: member.FailureDomain})
 	}
-	return addrs
+	return list
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,6 +108,7 @@
 		Seeds:          d.settings.ControlSeeds,
 		OpenGroup:      d.settings.UsesControlSeeds(),
 		OwnAddr:        d.settings.ControlAddr,
+		FailureDomain:  d.settings.FailureDomain,
 		StateMachine:   machine,
 		Transport: replica.NewTwirpTransport(replica.TwirpOptions{
 			ClusterID: clusterID,
--- a/internal/distribution/relay_source.go
+++ b/internal/distribution/relay_source.go
@@ -58,5 +58,5 @@
 	return s.membersComplete || time.Since(s.started) > MembersGrace
 }
 
-// ControlAddrs returns nil, because the nodes that follow a relay have the control instances from their settings.
-func (s *relayState) ControlAddrs() []string { return nil }
+// ControlInstances returns nil, because the nodes that follow a relay have the control instances from their settings.
+func (s *relayState) ControlInstances() []*apiv1.ControlInstance { return nil }
--- a/internal/distribution/source.go
+++ b/internal/distribution/source.go
@@ -24,6 +24,6 @@
 	// MembersComplete reports whether the table of members is complete. Shortly after a start it is not, and serving it
 	// as complete would make watchers drop live members.
 	MembersComplete() bool
-	// ControlAddrs lists the control addresses of the control group, as far as this process knows them.
-	ControlAddrs() []string
+	// ControlInstances lists the members of the control group, as far as this process knows them.
+	ControlInstances() []*apiv1.ControlInstance
 }
--- a/internal/distribution/watch_server.go
+++ b/internal/distribution/watch_server.go
@@ -143,9 +143,9 @@
 
 func (s *WatchServer) buildResponse(request *apiv1.WatchRequest, wantMembers bool) *apiv1.WatchResponse {
 	response := &apiv1.WatchResponse{
-		AcceptedVersion: s.source.Accepted(),
-		AgeMs:           uint64(s.source.Age().Milliseconds()),
-		ControlAddrs:    s.source.ControlAddrs(),
+		AcceptedVersion:  s.source.Accepted(),
+		AgeMs:            uint64(s.source.Age().Milliseconds()),
+		ControlInstances: s.source.ControlInstances(),
 	}
 	history := s.source.History(request.FailureDomain)
 	if history == nil {
--- a/internal/distribution/watch_server_test.go
+++ b/internal/distribution/watch_server_test.go
@@ -24,7 +24,7 @@
 func (s fixedSource) Changed() <-chan struct{}                       { return nil }
 func (s fixedSource) Age() time.Duration                             { return 0 }
 func (s fixedSource) MembersComplete() bool                          { return true }
-func (s fixedSource) ControlAddrs() []string                         { return nil }
+func (s fixedSource) ControlInstances() []*apiv1.ControlInstance     { return nil }
 
 // TestWatchResponsesAreRateLimited opens many watches for the same snapshot at once. The responses of the first second must
 // stay within the burst plus the rate of one second, and every rejected watch must carry a retry delay. Without the limit,
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -58,6 +58,10 @@
 	maxRetryDelay = 3 * time.Second
 	// failbackInterval is the mean time after which a node that failed over returns to its first choice.
 	failbackInterval = 30 * time.Second
+	// approachInterval is the mean time between checks whether a node that watches control instances directly can turn to
+	// one of its failure domain. It is the time for which its versions and members cross between failure domains after
+	// that instance has restarted.
+	approachInterval = 2 * time.Second
 	// relayRetryInterval is the mean time after which a node that watches a control instance, although relays are
 	// assigned, returns to the relays.
 	relayRetryInterval = 2 * time.Second
--- a/internal/node/selector.go
+++ b/internal/node/selector.go
@@ -11,15 +11,18 @@
 
 // selector chooses the upstream of a node, which is the process that the node watches, renews its leases at and reports to:
 // the node's own relay when the node is assigned as one, else a relay of its failure domain, and a control instance before
-// any relay is assigned or when no relay answers. It is safe for concurrent use.
+// any relay is assigned or when no relay answers. Of the control instances it prefers those of the node's failure domain,
+// so that versions and members cross between failure domains once for each control instance and not for each node. It is
+// safe for concurrent use.
 type selector struct {
-	instance string
-	ownRelay *distribution.Client
-	dial     func(addr string) *distribution.Client
+	instance      string
+	failureDomain string
+	ownRelay      *distribution.Client
+	dial          func(addr string) *distribution.Client
 
 	mu sync.Mutex
-	// control lists the addresses of the control instances.
-	control []string
+	// control lists the control instances in random order, so that nodes spread over them.
+	control []*apiv1.ControlInstance
 	relays  *apiv1.Assignment
 	// choices lists the possible upstreams, the best first; current is the index of the one in use.
 	choices []*distribution.Client
@@ -29,7 +32,10 @@
 }
 
 func newSelector(options Options, ownRelay *distribution.Client, dial func(addr string) *distribution.Client) *selector {
-	s := &selector{instance: options.Instance, ownRelay: ownRelay, dial: dial, control: options.Control, switched: make(chan struct{})}
+	s := &selector{instance: options.Instance, failureDomain: options.FailureDomain, ownRelay: ownRelay, dial: dial, switched: make(chan struct{})}
+	for _, i := range rand.Perm(len(options.Control)) {
+		s.control = append(s.control, &apiv1.ControlInstance{ControlAddr: options.Control[i]})
+	}
 	s.choices = s.rank()
 	return s
 }
@@ -51,18 +57,30 @@
 	return true
 }
 
-// learnControlAddrs adds the addresses of further control instances. It reports whether any was new.
-func (s *selector) learnControlAddrs(addrs []string) bool {
+// learnControlInstances adds further control instances and the failure domains of known ones. It keeps the upstream in use
+// and reports whether anything was new.
+func (s *selector) learnControlInstances(instances []*apiv1.ControlInstance) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	learned := false
-	for _, addr := range addrs {
-		if !slices.Contains(s.control, addr) {
-			s.control = append(slices.Clip(s.control), addr)
-			s.choices = append(slices.Clip(s.choices), s.dial(addr))
+	for _, instance := range instances {
+		i := slices.IndexFunc(s.control, func(known *apiv1.ControlInstance) bool { return known.ControlAddr == instance.ControlAddr })
+		switch {
+		case i < 0:
+			at := rand.IntN(len(s.control) + 1)
+			s.control = slices.Insert(slices.Clone(s.control), at, instance)
+			learned = true
+		case instance.FailureDomain != "" && s.control[i].FailureDomain != instance.FailureDomain:
+			s.control = slices.Clone(s.control)
+			s.control[i] = instance
 			learned = true
 		}
 	}
+	if learned {
+		inUse := s.choices[s.current]
+		s.choices = s.rank()
+		s.current = slices.Index(s.choices, inUse)
+	}
 	return learned
 }
 
@@ -70,10 +88,59 @@
 func (s *selector) controlAddrs() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.control)
+	addrs := make([]string, 0, len(s.control))
+	for _, instance := range s.control {
+		addrs = append(addrs, instance.ControlAddr)
+	}
+	return addrs
+}
+
+// nearer returns the control instance of the node's failure domain to prefer over the upstream in use, nil if there is
+// none, or while relays are assigned.
+func (s *selector) nearer() *distribution.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.choices) != len(s.control) {
+		return nil
+	}
+	var near []*distribution.Client
+	for i, instance := range s.ranked() {
+		if instance.FailureDomain == s.failureDomain {
+			near = append(near, s.choices[i])
+		}
+	}
+	if len(near) == 0 || slices.Contains(near, s.choices[s.current]) {
+		return nil
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// ranked returns the control instances of the node's failure domain, then the others.
+func (s *selector) ranked() []*apiv1.ControlInstance {
+	list := slices.Clone(s.control)
+	slices.SortStableFunc(list, func(a, b *apiv1.ControlInstance) int { return s.distance(a) - s.distance(b) })
+	return list
+}
+
+// distance returns 0 for a control instance of the node's failure domain and 1 for another one.
+func (s *selector) distance(instance *apiv1.ControlInstance) int {
+	if instance.FailureDomain == s.failureDomain {
+		return 0
+	}
+	return 1
+}
+
+// client returns the client for an address. One that is among the choices is kept, because users compare clients.
+func (s *selector) client(addr string) *distribution.Client {
+	for _, choice := range s.choices {
+		if choice.Addr == addr {
+			return choice
+		}
+	}
+	return s.dial(addr)
 }
 
-// rank returns the choices, the best first. Control instances are in random order, so that nodes spread over them.
+// rank returns the choices, the best first: relays, the control instances of the node's failure domain, and the others.
 func (s *selector) rank() []*distribution.Client {
 	var choices []*distribution.Client
 	var relays []string
@@ -85,10 +152,10 @@
 		relays = append(relays, node.ControlAddr)
 	}
 	for _, addr := range distribution.Rank(s.instance, relays) {
-		choices = append(choices, s.dial(addr))
+		choices = append(choices, s.client(addr))
 	}
-	for _, i := range rand.Perm(len(s.control)) {
-		choices = append(choices, s.dial(s.control[i]))
+	for _, instance := range s.ranked() {
+		choices = append(choices, s.client(instance.ControlAddr))
 	}
 	return choices
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -42,8 +42,12 @@
 	return nil
 }
 
-// failbackLoop returns to the first choice at intervals, so that nodes use a recovered relay again.
+// failbackLoop returns to the first choice at intervals, so that nodes use a recovered relay or a recovered control
+// instance of their failure domain again.
 func (n *Node) failbackLoop(ctx context.Context) error {
+	if n.options.Direct {
+		return n.approachLoop(ctx)
+	}
 	for ctx.Err() == nil {
 		_, switched := n.selector.choice()
 		wait := failbackInterval
@@ -62,6 +66,37 @@
 	return nil
 }
 
+// approachLoop turns to a control instance of the node's failure domain while another one is in use. Without such an
+// instance it returns to the first choice at intervals, so that nodes spread again over recovered instances.
+func (n *Node) approachLoop(ctx context.Context) error {
+	lastFailback := time.Now()
+	for ctx.Err() == nil {
+		sleepWithJitter(ctx, approachInterval)
+		from, _ := n.selector.choice()
+		if target := n.selector.nearer(); target != nil {
+			if n.isFresh(ctx, target) {
+				n.options.Logger.Info().Str("upstream", target.Addr).Str("upstream_before", from.Addr).Msg("turned to a control instance of this failure domain")
+				n.selector.switchTo(target)
+			}
+			continue
+		}
+		if time.Since(lastFailback) > failbackInterval {
+			lastFailback = time.Now()
+			n.selector.failBack()
+		}
+	}
+	return nil
+}
+
+// isFresh reports whether a control instance answers and is in contact with a quorum. A node does not turn to one that is
+// down or partitioned, because it would get no versions while it finds out.
+func (n *Node) isFresh(ctx context.Context, target *distribution.Client) bool {
+	ctx, cancel := context.WithTimeout(ctx, ageQueryTimeout)
+	defer cancel()
+	response, err := target.Distribution.Floor(ctx, &apiv1.FloorRequest{FailureDomain: n.options.FailureDomain})
+	return err == nil && response.Synced
+}
+
 // newBackOff returns an exponential backoff with jitter that never gives up.
 func newBackOff() *backoff.ExponentialBackOff {
 	return backoff.NewExponentialBackOff(
@@ -147,7 +182,7 @@
 // another upstream. Any other refused configuration is only recorded, because it is not a fault of the connection.
 func (n *Node) handleResponse(ctx context.Context, from *distribution.Client, response *apiv1.WatchResponse) error {
 	n.learnRelays(response.Relays)
-	n.LearnControlAddrs(response.ControlAddrs)
+	n.learnControlInstances(response.ControlInstances)
 	changed, refused := n.applier.apply(response)
 	if refused != nil {
 		n.options.Logger.Warn().Err(refused).Str("upstream", from.Addr).Msg("configuration refused")
@@ -265,8 +300,17 @@
 
 // LearnControlAddrs adds the addresses of control instances if the node watches them directly.
 func (n *Node) LearnControlAddrs(addrs []string) {
-	if n.options.Direct && n.selector.learnControlAddrs(addrs) {
-		n.options.Logger.Info().Strs("control", addrs).Msg("control instances learned")
+	var instances []*apiv1.ControlInstance
+	for _, addr := range addrs {
+		instances = append(instances, &apiv1.ControlInstance{ControlAddr: addr})
+	}
+	n.learnControlInstances(instances)
+}
+
+// learnControlInstances adds control instances if the node watches them directly.
+func (n *Node) learnControlInstances(instances []*apiv1.ControlInstance) {
+	if n.options.Direct && n.selector.learnControlInstances(instances) {
+		n.options.Logger.Info().Strs("control", n.selector.controlAddrs()).Msg("control instances learned")
 	}
 }
 
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -36,7 +36,7 @@
 }
 
 func (r *Replica) ownMember() *apiv1.ReplicaMember {
-	return &apiv1.ReplicaMember{Id: r.identity.Identity, Name: r.options.ID, ControlAddr: r.ownAddr()}
+	return &apiv1.ReplicaMember{Id: r.identity.Identity, Name: r.options.ID, ControlAddr: r.ownAddr(), FailureDomain: r.options.FailureDomain}
 }
 
 func (r *Replica) ownAddr() string {
--- a/internal/replica/member.go
+++ b/internal/replica/member.go
@@ -12,6 +12,8 @@
 	ID string
 	// ControlAddr is the IP address and port of the instance's control API.
 	ControlAddr string
+	// FailureDomain is empty for a member that joined before instances told theirs.
+	FailureDomain string
 	// Learner marks a member that receives the log but has no vote.
 	Learner bool
 	// Identity is the identity of the instance's data folder, by which Raft messages address the member.
@@ -19,7 +21,7 @@
 }
 
 func memberOf(member *apiv1.ReplicaMember) Member {
-	return Member{ID: member.Name, ControlAddr: member.ControlAddr, Learner: member.Learner, Identity: member.Id}
+	return Member{ID: member.Name, ControlAddr: member.ControlAddr, FailureDomain: member.FailureDomain, Learner: member.Learner, Identity: member.Id}
 }
 
 func membersOf(list []*apiv1.ReplicaMember) []Member {
--- a/internal/replica/members_server.go
+++ b/internal/replica/members_server.go
@@ -43,7 +43,7 @@
 	}
 	for _, member := range status.Members {
 		response.Members = append(response.Members, &apiv1.ReplicaMember{
-			Id: member.Identity, Name: member.ID, ControlAddr: member.ControlAddr, Learner: member.Learner,
+			Id: member.Identity, Name: member.ID, ControlAddr: member.ControlAddr, FailureDomain: member.FailureDomain, Learner: member.Learner,
 		})
 		response.Votes = response.Votes || (member.Identity == status.Identity && !member.Learner)
 	}
--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "samphireflow/api/v1"
 )
 
@@ -146,13 +148,14 @@
 
 // withPromoted returns the members with a learner turned into a voter.
 func withPromoted(members []*apiv1.ReplicaMember, id string) []*apiv1.ReplicaMember {
-	learner := findMember(members, id)
-	voter := &apiv1.ReplicaMember{Id: learner.Id, Name: learner.Name, ControlAddr: learner.ControlAddr}
+	voter := proto.Clone(findMember(members, id)).(*apiv1.ReplicaMember)
+	voter.Learner = false
 	return sorted(append(withoutMember(members, id), voter))
 }
 
 func withLearner(members []*apiv1.ReplicaMember, joiner *apiv1.ReplicaMember) []*apiv1.ReplicaMember {
-	learner := &apiv1.ReplicaMember{Id: joiner.Id, Name: joiner.Name, ControlAddr: joiner.ControlAddr, Learner: true}
+	learner := proto.Clone(joiner).(*apiv1.ReplicaMember)
+	learner.Learner = true
 	return sorted(append(withoutMember(members, joiner.Id), learner))
 }
 
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -30,10 +30,12 @@
 	// OpenGroup admits instances of any name. Without it an operator has to invite each new name.
 	OpenGroup bool
 	// OwnAddr is the control address of an instance that is not in InitialMembers.
-	OwnAddr      string
-	StateMachine StateMachine
-	Transport    Transport
-	Logger       zerolog.Logger
+	OwnAddr string
+	// FailureDomain is that of this instance; the other members learn it when this one joins.
+	FailureDomain string
+	StateMachine  StateMachine
+	Transport     Transport
+	Logger        zerolog.Logger
 	// TickInterval is the unit of ElectionTicks and HeartbeatTicks.
 	TickInterval time.Duration
 	// ElectionTicks and HeartbeatTicks default to those of package raft. With the default TickInterval, the election
