Count the bytes at the control address by method

Nothing told what the bytes between instances are spent on. The control address now counts the bodies of requests and responses by method and all bytes of its connections, as a metric and, on control instances, in a log line each 10 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/replica"
+	"samphireflow/internal/rpcbytes"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/state"
 	"samphireflow/internal/tracing"
@@ -42,6 +43,8 @@
 	logger   zerolog.Logger
 	registry *prometheus.Registry
 
+	// rpcBytes counts the bytes at the control address.
+	rpcBytes *rpcbytes.Counter
 	// faults is nil without fault injection.
 	faults       *netfault.Faults
 	platform     PlatformOptions
@@ -56,7 +59,7 @@
 
 // New creates the roles of the process. For a control instance it opens the data folder.
 func New(s *settings.Settings, platform PlatformOptions, logger zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, platform: platform, logger: logger, registry: prometheus.NewRegistry()}
+	d := &Daemon{settings: s, platform: platform, logger: logger, registry: prometheus.NewRegistry(), rpcBytes: rpcbytes.New()}
 	if s.FaultInjection {
 		d.faults = netfault.Enable()
 		d.faults.Cut(s.PartitionedAddrs)
@@ -185,11 +188,13 @@
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return serve(running, "admin", d.settings.AdminAddr, d.adminHandler()) })
 	group.Go(func() error {
-		return serve(running, "control", d.settings.ControlAddr, tracing.TracedOnly("control", d.controlHandler()))
+		handler := d.rpcBytes.Handler(tracing.TracedOnly("control", d.controlHandler()))
+		return serveCounted(running, "control", d.settings.ControlAddr, handler, d.rpcBytes.Listener)
 	})
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(running) })
 		group.Go(func() error { return d.watchStorage(running) })
+		group.Go(func() error { return d.logTraffic(running) })
 	}
 	if d.node != nil {
 		group.Go(func() error { return d.node.Run(running) })
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -11,6 +11,7 @@
 	d.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		d.rpcBytes,
 	)
 	if d.control != nil {
 		d.registry.MustRegister(metrics.NewControl(metrics.ControlSource{
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -21,6 +22,11 @@
 
 // serve serves one address until ctx ends, then waits for the requests in flight.
 func serve(ctx context.Context, name, addr string, handler http.Handler) error {
+	return serveCounted(ctx, name, addr, handler, func(listener net.Listener) net.Listener { return listener })
+}
+
+// serveCounted is serve with a listener that count wraps.
+func serveCounted(ctx context.Context, name, addr string, handler http.Handler, count func(net.Listener) net.Listener) error {
 	listener, err := listen(addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s address", name)
@@ -28,7 +34,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	server.Protocols = distribution.ServerProtocols()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(count(listener)) }()
 	select {
 	case err := <-failed:
 		return errors.Wrapf(err, "serve %s address", name)
