Fetch the first configuration in the own failure domain

A starting node asked the seeds for the floor of its version and then fetched the whole configuration and all members from one of them, mostly in another failure domain; it turned to one of its own only afterwards and fetched all members again. After a restart of all nodes each whole fetch crossed.

Answers about the floor now name the members of the control group with their failure domains. A starting node waits up to 200 ms for one of its own and makes its first watch there.

The test failed before: the only watch went to the other failure domain.

--- a/internal/control/distribution_service.go
+++ b/internal/control/distribution_service.go
@@ -30,11 +30,12 @@
 	view := s.server.options.Machine.View()
 	relays := view.Assignment(request.FailureDomain, apiv1.AssignmentRole_ASSIGNMENT_ROLE_RELAY)
 	return &apiv1.FloorResponse{
-		Instance:     s.server.options.Instance,
-		Version:      view.Version,
-		Synced:       err == nil,
-		AgeMs:        uint64(s.server.options.Log.Status().LastContact.Milliseconds()),
-		Relays:       relays,
-		NewestRelays: relays,
+		Instance:         s.server.options.Instance,
+		Version:          view.Version,
+		Synced:           err == nil,
+		AgeMs:            uint64(s.server.options.Log.Status().LastContact.Milliseconds()),
+		Relays:           relays,
+		NewestRelays:     relays,
+		ControlInstances: watchSource{s.server}.ControlInstances(),
 	}, nil
 }
--- a/internal/node/floor.go
+++ b/internal/node/floor.go
@@ -52,6 +52,7 @@
 			if err != nil {
 				return
 			}
+			n.learnControlInstances(response.ControlInstances)
 			round.add(response, n.isControl(client.Addr))
 			if round.settled() {
 				cancel()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -62,6 +62,9 @@
 	// one of its failure domain. It is the time for which its versions and members cross between failure domains after
 	// that instance has restarted.
 	approachInterval = 2 * time.Second
+	// nearWait is the longest time for which a starting node waits to learn of a control instance of its failure domain. It
+	// is a few round trips between failure domains of a region.
+	nearWait = 200 * time.Millisecond
 	// relayRetryInterval is the mean time after which a node that watches a control instance, although relays are
 	// assigned, returns to the relays.
 	relayRetryInterval = 2 * time.Second
--- a/internal/node/selector.go
+++ b/internal/node/selector.go
@@ -29,10 +29,13 @@
 	current int
 	// switched is closed when another upstream is chosen.
 	switched chan struct{}
+	// nearKnown is closed once a control instance of the node's failure domain is known.
+	nearKnown     chan struct{}
+	nearKnownOnce sync.Once
 }
 
 func newSelector(options Options, ownRelay *distribution.Client, dial func(addr string) *distribution.Client) *selector {
-	s := &selector{instance: options.Instance, failureDomain: options.FailureDomain, ownRelay: ownRelay, dial: dial, switched: make(chan struct{})}
+	s := &selector{instance: options.Instance, failureDomain: options.FailureDomain, ownRelay: ownRelay, dial: dial, switched: make(chan struct{}), nearKnown: make(chan struct{})}
 	for _, i := range rand.Perm(len(options.Control)) {
 		s.control = append(s.control, &apiv1.ControlInstance{ControlAddr: options.Control[i]})
 	}
@@ -80,6 +83,9 @@
 		inUse := s.choices[s.current]
 		s.choices = s.rank()
 		s.current = slices.Index(s.choices, inUse)
+		if slices.ContainsFunc(s.control, s.isNear) {
+			s.nearKnownOnce.Do(func() { close(s.nearKnown) })
+		}
 	}
 	return learned
 }
@@ -105,7 +111,7 @@
 	}
 	var near []*distribution.Client
 	for i, instance := range s.ranked() {
-		if instance.FailureDomain == s.failureDomain {
+		if s.isNear(instance) {
 			near = append(near, s.choices[i])
 		}
 	}
@@ -122,9 +128,14 @@
 	return list
 }
 
+// isNear reports whether a control instance is in the node's failure domain.
+func (s *selector) isNear(instance *apiv1.ControlInstance) bool {
+	return instance.FailureDomain == s.failureDomain
+}
+
 // distance returns 0 for a control instance of the node's failure domain and 1 for another one.
 func (s *selector) distance(instance *apiv1.ControlInstance) int {
-	if instance.FailureDomain == s.failureDomain {
+	if s.isNear(instance) {
 		return 0
 	}
 	return 1
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -70,3 +70,44 @@
 	require.Eventually(t, func() bool { return n.Table() != nil }, 5*time.Second, time.Millisecond, "the held watch does not delay it")
 	require.Equal(t, uint64(3), n.Status().Snapshot.GetVersion())
 }
+
+// nearControl is a control instance of the group near and far, which counts the watches that reach it.
+type nearControl struct {
+	apiv1.Distribution
+	group   []*apiv1.ControlInstance
+	watches atomic.Int32
+}
+
+func (c *nearControl) Floor(context.Context, *apiv1.FloorRequest) (*apiv1.FloorResponse, error) {
+	return &apiv1.FloorResponse{ControlInstances: c.group}, nil
+}
+
+func (c *nearControl) Watch(ctx context.Context, _ *apiv1.WatchRequest) (*apiv1.WatchResponse, error) {
+	c.watches.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestNodeFetchesItsFirstVersionInItsFailureDomain starts a node that knows only a control instance of another failure
+// domain. It must not fetch the whole configuration from that one.
+func TestNodeFetchesItsFirstVersionInItsFailureDomain(t *testing.T) {
+	near, far := &nearControl{}, &nearControl{}
+	serve := func(control *nearControl) string {
+		server := httptest.NewUnstartedServer(http.Handler(apiv1.NewDistributionServer(control)))
+		server.Config.Protocols = distribution.ServerProtocols()
+		server.Start()
+		t.Cleanup(server.CloseClientConnections)
+		return server.Listener.Addr().String()
+	}
+	nearAddr, farAddr := serve(near), serve(far)
+	far.group = []*apiv1.ControlInstance{{ControlAddr: nearAddr, FailureDomain: "north"}, {ControlAddr: farAddr, FailureDomain: "south"}}
+	n := New(Options{
+		Instance: "n", FailureDomain: "north", ControlAddr: "127.0.0.1:1", Control: []string{farAddr},
+		Direct: true, Logger: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.watchLoop(ctx) }()
+	require.Eventually(t, func() bool { return near.watches.Load() == 1 }, 5*time.Second, time.Millisecond)
+	require.Zero(t, far.watches.Load())
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -31,6 +31,7 @@
 			close(floorKnown)
 		}
 	}()
+	n.startNear(ctx)
 	retry := newBackOff()
 	for ctx.Err() == nil {
 		select {
@@ -57,6 +58,24 @@
 	return nil
 }
 
+// startNear turns to a control instance of the node's failure domain before the first watch, as soon as an answer about
+// the floor names one, or gives up after nearWait. After a restart of all nodes each of them fetches the whole
+// configuration and all members.
+func (n *Node) startNear(ctx context.Context) {
+	if !n.options.Direct {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, nearWait)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-n.selector.nearKnown:
+		if target := n.selector.nearer(); target != nil {
+			n.selector.switchTo(target)
+		}
+	}
+}
+
 // learnFloor makes the node serve by the held snapshot if it may. A relay that sent an older one is behind; a control
 // instance is about to learn what was accepted.
 func (n *Node) learnFloor(floor uint64) {
