Bound the voters of an open group and spread them over failure domains

Every instance that joined an open group became a voter, so that each commit waited for and was sent to more than half of all, and each election needed as many. Instances beyond seven stay learners; they serve watches and reads and take the place of a voter that dies or comes back without its disk. Learners of the failure domains with the fewest voters are promoted first.

The case of the eighth instance and TestVotersSpreadOverFailureDomains failed before.

--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "samphireflow/api/v1"
@@ -21,6 +23,11 @@
 // number that tolerates the loss of one.
 const minVoters = 3
 
+// maxVoters is the number of voters that an open group has at most. Seven tolerate the loss of three; each further one
+// would add its copy of the log to what each commit waits for and sends. Further instances stay learners: they serve
+// watches and reads, and take the place of a voter that dies.
+const maxVoters = 7
+
 // joinPolicy decides which new names may join a group.
 type joinPolicy struct {
 	// openGroup admits all instances.
@@ -44,18 +51,20 @@
 // An open group also removes dead members that are not replaced. A dead voter is removed only if at least minVoters
 // live voters remain. Without these removals, a voter that dies just before its replacement becomes a voter would count
 // towards the quorum forever. A member that was only partitioned joins again.
+//
+// An open group promotes learners up to maxVoters voters, those of the failure domains with the fewest voters first, so
+// that the loss of a failure domain takes as few voters as possible.
 func nextMembership(members []*apiv1.ReplicaMember, joiners []*apiv1.ReplicaMember, policy joinPolicy, health memberHealth) ([]*apiv1.ReplicaMember, bool) {
-	for _, learner := range members {
-		if !learner.Learner || !health.caughtUp(learner.Id) {
-			continue
-		}
+	for _, learner := range promotable(members, health) {
 		if replaced := voterWithSameName(members, learner); replaced != nil {
 			return withoutMember(members, replaced.Id), true
 		}
 		if dead := deadVoter(members, health); dead != nil {
 			return withoutMember(members, dead.Id), true
 		}
-		return withPromoted(members, learner.Id), true
+		if !policy.openGroup || countVoters(members) < maxVoters {
+			return withPromoted(members, learner.Id), true
+		}
 	}
 	if dead := removableMember(members, policy, health); dead != nil {
 		return withoutMember(members, dead.Id), true
@@ -76,6 +85,32 @@
 	return nil, false
 }
 
+// promotable returns the learners that have caught up, those of the failure domains with the fewest voters first.
+func promotable(members []*apiv1.ReplicaMember, health memberHealth) []*apiv1.ReplicaMember {
+	voters := map[string]int{}
+	var learners []*apiv1.ReplicaMember
+	for _, member := range members {
+		switch {
+		case !member.Learner:
+			voters[member.FailureDomain]++
+		case health.caughtUp(member.Id):
+			learners = append(learners, member)
+		}
+	}
+	slices.SortStableFunc(learners, func(a, b *apiv1.ReplicaMember) int { return voters[a.FailureDomain] - voters[b.FailureDomain] })
+	return learners
+}
+
+func countVoters(members []*apiv1.ReplicaMember) int {
+	count := 0
+	for _, member := range members {
+		if !member.Learner {
+			count++
+		}
+	}
+	return count
+}
+
 // voterWithSameName returns the voter that has the name of member but another identity, if any.
 func voterWithSameName(members []*apiv1.ReplicaMember, member *apiv1.ReplicaMember) *apiv1.ReplicaMember {
 	for _, other := range members {
--- a/internal/replica/next_membership_test.go
+++ b/internal/replica/next_membership_test.go
@@ -73,6 +73,11 @@
 		{name: "a dead learner is removed", members: "a1 b1 c1 d1?", health: fixedHealth{deadIDs: "d1"}, want: "a1 b1 c1"},
 		{name: "a closed group leaves dead voters to the operator", members: "a1 b1 c1 d1", closed: true, health: fixedHealth{deadIDs: "a1"}},
 		{name: "a removed member joins again with its identity", members: "b1 c1 d1", joiners: "a1", want: "a1? b1 c1 d1"},
+		{name: "an eighth instance stays a learner", members: "a1 b1 c1 d1 e1 f1 g1 h1?"},
+		{name: "a learner takes the place of a dead voter of seven", members: "a1 b1 c1 d1 e1 f1 g1 h1?", health: fixedHealth{deadIDs: "c1"}, want: "a1 b1 d1 e1 f1 g1 h1?"},
+		{name: "a learner completes seven voters", members: "a1 b1 c1 d1 e1 f1 h1? i1?", want: "a1 b1 c1 d1 e1 f1 h1 i1?"},
+		{name: "a voter of seven that lost its disk gets its place back", members: "a1 a2? b1 c1 d1 e1 f1 g1 h1?", health: fixedHealth{silentIDs: "a1"}, want: "a2? b1 c1 d1 e1 f1 g1 h1?"},
+		{name: "an operator may have eight voters", members: "a1 b1 c1 d1 e1 f1 g1 h1?", closed: true, want: "a1 b1 c1 d1 e1 f1 g1 h1"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			invited := map[string]bool{test.invited: test.invited != ""}
@@ -82,3 +87,26 @@
 		})
 	}
 }
+
+// TestVotersSpreadOverFailureDomains lets nine instances of three failure domains join a group whose first three members
+// are in one of them.
+func TestVotersSpreadOverFailureDomains(t *testing.T) {
+	members := parseMembers("a1 b1 c1 d1? e1? f1? g1? h1? i1?")
+	for i, member := range members {
+		member.FailureDomain = []string{"north", "east", "south"}[i/3]
+	}
+	for {
+		next, due := nextMembership(members, nil, joinPolicy{openGroup: true}, fixedHealth{})
+		if !due {
+			break
+		}
+		members = next
+	}
+	voters := map[string]int{}
+	for _, member := range members {
+		if !member.Learner {
+			voters[member.FailureDomain]++
+		}
+	}
+	require.Equal(t, map[string]int{"north": 3, "east": 2, "south": 2}, voters)
+}
