Refuse times between nodes that overflow

A gate read any number of milliseconds from the metadata of a forwarded call; one above 9.2e12 wrapped around, so that a deadline far ahead became one far in the past or the other way round.

--- a/internal/calls/hop_metadata.go
+++ b/internal/calls/hop_metadata.go
@@ -31,6 +31,9 @@
 	hopTimesFieldCount = 3
 )
 
+// maxHopTime bounds the times in metadata, far above any deadline. Larger numbers of milliseconds overflow a duration.
+const maxHopTime = 24 * time.Hour
+
 // Write sets the header fields that ReadHopMetadata reads. HopCallHeader holds what is the same for many calls, so that it
 // compresses well; HopTimesHeader holds the times in milliseconds.
 func (h HopMetadata) Write(header http.Header) {
@@ -82,6 +85,9 @@
 		if err != nil {
 			return errors.Wrap(err, "time")
 		}
+		if ms > maxHopTime.Milliseconds() || ms < -maxHopTime.Milliseconds() {
+			return errors.Errorf("time of %d ms is out of range", ms)
+		}
 		*target = time.Duration(ms) * time.Millisecond
 	}
 	return nil
