--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -265,13 +265,14 @@
 // logHeld logs the newly held snapshot and learns its relays.
 func (n *Node) logHeld(from *distribution.Client, response *apiv1.WatchResponse) {
 	current := n.applier.current
-	message := "configuration applied"
-	if !n.applier.mayServe() {
-		message = "configuration held until the floor of the version is known"
-	}
-	n.options.Logger.Info().Uint64("version", current.Version).Uint64("config_term", current.Term).
+	event := n.options.Logger.Info().Uint64("version", current.Version).Uint64("config_term", current.Term).
 		Str("digest", strconv.FormatUint(current.Digest, 16)).Str("upstream", from.Addr).Bool("delta", response.Delta != nil).
-		Int("bytes", len(response.Delta)+len(response.Snapshot)).Msg(message)
+		Int("bytes", len(response.Delta)+len(response.Snapshot))
+	if n.applier.mayServe() {
+		event.Msg("configuration applied")
+	} else {
+		event.Msg("configuration held until the floor of the version is known")
+	}
 	n.learnRelays(distribution.RelaysOf(current))
 }
 
--- a/test/control/group_test.go
+++ b/test/control/group_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"samphireflow/internal/replica"
@@ -168,7 +170,7 @@
 
 // awaitVoters waits until every instance serves a linearizable read and is a voter with its current data directory.
 func (g *group) awaitVoters() {
-	require.Eventually(g.t, func() bool {
+	settled := assert.Eventually(g.t, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 		defer cancel()
 		for _, i := range g.instances {
@@ -179,6 +181,41 @@
 		}
 		return true
 	}, settleTimeout, tickInterval, "the group does not settle")
+	if !settled {
+		g.t.Fatal(g.describe())
+	}
+}
+
+// describe returns the state of each instance, one a line.
+func (g *group) describe() string {
+	var lines strings.Builder
+	for _, i := range g.instances {
+		running, _ := i.running()
+		if running == nil {
+			fmt.Fprintf(&lines, "%s is down\n", i.name)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+		read := running.ReadIndex(ctx)
+		cancel()
+		s := running.Status()
+		fmt.Fprintf(&lines, "%s identity %s leader %q term %d commit %d applied %d joiners %v contact %s stopped %v read %v members",
+			i.name, s.Identity, s.Leader, s.Term, s.Commit, s.Applied, s.Joiners, s.LastContact, isClosed(running.Done()), read)
+		for _, member := range s.Members {
+			fmt.Fprintf(&lines, " %s=%s learner %v,", member.ID, member.Identity, member.Learner)
+		}
+		lines.WriteString("\n")
+	}
+	return lines.String()
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
 }
 
 // leader waits until an instance leads and returns it.
