--- a/internal/bench/control/group.go
+++ b/internal/bench/control/group.go
@@ -14,6 +14,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/replica"
+	"samphireflow/internal/rpcbytes"
 	"samphireflow/internal/state"
 )
 
@@ -37,12 +38,12 @@
 	members       []replica.Member
 	snapshotEvery uint64
 	// traffic counts the bytes that all instances read and write on connections that they accept.
-	traffic *atomic.Int64
+	traffic *atomic.Uint64
 }
 
 // startGroup starts a group with data folders beneath dir and waits for its leader.
 func startGroup(ctx context.Context, dir string, size int, snapshotEvery uint64) (*group, error) {
-	g := &group{snapshotEvery: snapshotEvery, traffic: &atomic.Int64{}}
+	g := &group{snapshotEvery: snapshotEvery, traffic: &atomic.Uint64{}}
 	var listeners []net.Listener
 	for i := 0; i < size; i++ {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -83,7 +84,7 @@
 	}
 	i.replica = opened
 	i.server = &http.Server{Handler: apiv1.NewReplicationServer(opened.ReplicationServer())}
-	go func() { _ = i.server.Serve(&countingListener{listener, g.traffic}) }()
+	go func() { _ = i.server.Serve(rpcbytes.CountConnections(listener, g.traffic, g.traffic)) }()
 	return nil
 }
 
