Let a replaced disk take its own place in a closed group

The state at that time: the members are c0 (new disk), c1, c3, c4; c2 still lists itself and has had no contact for 21 s.

An instance that lost its disk joins as a learner; the leader removes its old voter and then promotes the learner. Between the two, a voter that was silent for long, here c2, counted as the one that the learner replaces, and was removed too. Members of a closed group do not join again by themselves. So an instance that was only silent for some seconds was given up.

The learner is now marked in the same change that removes its old voter, and a marked learner is promoted without replacing anybody. A removal and a promotion in one change were ruled out, since they change two voters at once.

A learner that loses its disk again loses the mark.

--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -45,7 +45,8 @@
 //
 // An instance that lost its data folder joins again under its name with a new identity, once the leader has no contact
 // with the old one. It joins as a learner and catches up; then the old voter is removed and the learner becomes a
-// voter. An instance with a new name may join only if an operator has invited it or the group is open. It replaces a
+// voter. The learner is marked when the old voter is removed, so that it takes this place and not that of another voter
+// that is silent meanwhile: a closed group does not take that one back by itself. An instance with a new name may join only if an operator has invited it or the group is open. It replaces a
 // dead voter if there is one, so that replacing instances does not increase the size of the quorum.
 //
 // An open group also removes dead members that are not replaced. A dead voter is removed only if at least minVoters
@@ -57,7 +58,10 @@
 func nextMembership(members []*apiv1.ReplicaMember, joiners []*apiv1.ReplicaMember, policy joinPolicy, health memberHealth) ([]*apiv1.ReplicaMember, bool) {
 	for _, learner := range promotable(members, health) {
 		if replaced := voterWithSameName(members, learner); replaced != nil {
-			return withoutMember(members, replaced.Id), true
+			return withPlaceTaken(withoutMember(members, replaced.Id), learner.Id), true
+		}
+		if learner.TakesPlace {
+			return withPromoted(members, learner.Id), true
 		}
 		if dead := deadVoter(members, health); dead != nil {
 			return withoutMember(members, dead.Id), true
@@ -184,13 +188,20 @@
 // withPromoted returns the members with a learner turned into a voter.
 func withPromoted(members []*apiv1.ReplicaMember, id string) []*apiv1.ReplicaMember {
 	voter := proto.Clone(findMember(members, id)).(*apiv1.ReplicaMember)
-	voter.Learner = false
+	voter.Learner, voter.TakesPlace = false, false
 	return sorted(append(withoutMember(members, id), voter))
 }
 
+// withPlaceTaken returns the members with a learner marked to take the place of a voter that is removed in the same change.
+func withPlaceTaken(members []*apiv1.ReplicaMember, id string) []*apiv1.ReplicaMember {
+	learner := proto.Clone(findMember(members, id)).(*apiv1.ReplicaMember)
+	learner.TakesPlace = true
+	return sorted(append(withoutMember(members, id), learner))
+}
+
 func withLearner(members []*apiv1.ReplicaMember, joiner *apiv1.ReplicaMember) []*apiv1.ReplicaMember {
 	learner := proto.Clone(joiner).(*apiv1.ReplicaMember)
-	learner.Learner = true
+	learner.Learner, learner.TakesPlace = true, false
 	return sorted(append(withoutMember(members, joiner.Id), learner))
 }
 
