Read the counters of connections after the server has ended

A write is counted after it returns, and the client can read the response before. The test now closes the server first; its bounds are the same.

--- a/internal/rpcbytes/counter_test.go
+++ b/internal/rpcbytes/counter_test.go
@@ -23,7 +23,6 @@
 	})))
 	server.Listener = counter.Listener(server.Listener)
 	server.Start()
-	defer server.Close()
 	for _, path := range []string{"/twirp/samphireflow.v1.Distribution/Watch", "/twirp/samphireflow.v1.Distribution/Unknown", "/else"} {
 		response, err := http.Post(server.URL+path, "text/plain", strings.NewReader(strings.Repeat("x", 100)))
 		require.NoError(t, err)
@@ -31,6 +30,9 @@
 		require.NoError(t, err)
 		require.NoError(t, response.Body.Close())
 	}
+	// The counters of a connection are final only after the server has ended it: the client may have read a response before
+	// the write that sent it returns.
+	server.Close()
 	totals := counter.Totals()
 	require.Equal(t, rpcbytes.Traffic{Received: 100, Sent: 300}, totals["samphireflow.v1.Distribution/Watch"])
 	require.Equal(t, rpcbytes.Traffic{Received: 200, Sent: 600}, totals["other"], "unknown paths share one entry")
