--- a/internal/ingress/retry_budget.go
+++ b/internal/ingress/retry_budget.go
@@ -13,7 +13,8 @@
 	ratioUse = 0.8
 	// slackUse is the part of the configured slack that all full buckets together hold.
 	slackUse = 0.8
-	// minRetryBurst and maxRetryBurst bound the size of a token bucket, in retries. A bucket below 1 would allow none.
+	// minRetryBurst and maxRetryBurst bound the size of a token bucket, in retries. A bucket below 1 would allow none, so
+	// with more nodes than that part of the slack, full buckets hold more than it.
 	minRetryBurst = 1.0
 	maxRetryBurst = 3.0
 	// budgetExpiry is the time without calls after which the token bucket of a service is removed.
@@ -47,8 +48,8 @@
 // retryBudget limits the retries of this node by service. It is safe for concurrent use.
 //
 // Load pattern: when backend servers of a service fail or refuse calls, retries by all nodes would multiply the load that
-// made them fail. No node knows what the others send, so each node may retry only a share of its own calls, and all
-// buckets together hold no more than the slack of the deployment.
+// made them fail. No node knows what the others send, so each node may retry only a share of its own calls, and its bucket
+// shrinks with the number of nodes.
 //
 // A run that is itself a retry makes its calls to other services again. They add to the load there like retries, so the
 // calls of a node earn less by the share of retries among the runs at its backend server.
--- a/internal/ingress/retry_budget_test.go
+++ b/internal/ingress/retry_budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -89,7 +90,8 @@
 				play := func(duration time.Duration) {
 					for range int(duration.Seconds() * callRate) {
 						now = now.Add(time.Second / callRate)
-						node := int(float64(nodes) * pow(f.random.Float64(), skew))
+						// The power concentrates the calls on the first nodes.
+						node := int(float64(nodes) * math.Pow(f.random.Float64(), skew))
 						f.callFront(node, now)
 					}
 				}
@@ -106,15 +108,6 @@
 	}
 }
 
-// pow concentrates a uniformly distributed number near 0, so that some nodes carry more of the load than others.
-func pow(x, exponent float64) float64 {
-	result := 1.0
-	for range int(exponent) {
-		result *= x
-	}
-	return result
-}
-
 func TestBucketsOfAllNodesHoldTheSlack(t *testing.T) {
 	limits := RetryLimits{Slack: 604}
 	require.LessOrEqual(t, limits.burst(281)*281, 604.0)
--- a/internal/node/selector_test.go
+++ b/internal/node/selector_test.go
@@ -16,6 +16,16 @@
 	return newSelector(Options{Instance: "n", FailureDomain: "north", Control: []string{"1", "2"}}, nil, dial)
 }
 
+// newNearSelector returns the selector of a node that watches the control instance 3 of its failure domain, and the client
+// of that one.
+func newNearSelector() (*selector, *distribution.Client) {
+	s := newDirectSelector()
+	s.learnControlInstances(group())
+	s.switchTo(s.nearer())
+	near, _ := s.choice()
+	return s, near
+}
+
 // group lists the control instances of three failure domains, of which the seeds are in other ones than the node.
 func group() []*apiv1.ControlInstance {
 	return []*apiv1.ControlInstance{
@@ -41,10 +51,7 @@
 }
 
 func TestNodeReturnsToItsFailureDomainAfterAFailure(t *testing.T) {
-	s := newDirectSelector()
-	s.learnControlInstances(group())
-	s.switchTo(s.nearer())
-	near, _ := s.choice()
+	s, near := newNearSelector()
 	s.failOver(near)
 	far, _ := s.choice()
 	require.NotEqual(t, "3", far.Addr)
@@ -63,10 +70,7 @@
 
 // TestReplacedControlInstanceIsPreferred replaces the control instance of the failure domain by one at another address.
 func TestReplacedControlInstanceIsPreferred(t *testing.T) {
-	s := newDirectSelector()
-	s.learnControlInstances(group())
-	s.switchTo(s.nearer())
-	gone, _ := s.choice()
+	s, gone := newNearSelector()
 	s.failOver(gone)
 	s.learnControlInstances([]*apiv1.ControlInstance{{ControlAddr: "4", FailureDomain: "north"}})
 	require.Eventually(t, func() bool { return s.nearer().Addr == "4" }, time.Second, time.Microsecond, "the old one is not the only choice")
--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -46,8 +46,9 @@
 // An instance that lost its data folder joins again under its name with a new identity, once the leader has no contact
 // with the old one. It joins as a learner and catches up; then the old voter is removed and the learner becomes a
 // voter. The learner is marked when the old voter is removed, so that it takes this place and not that of another voter
-// that is silent meanwhile: a closed group does not take that one back by itself. An instance with a new name may join only if an operator has invited it or the group is open. It replaces a
-// dead voter if there is one, so that replacing instances does not increase the size of the quorum.
+// that is silent meanwhile: a closed group does not take that one back by itself. An instance with a new name may join
+// only if an operator has invited it or the group is open. It replaces a dead voter if there is one, so that replacing
+// instances does not increase the size of the quorum.
 //
 // An open group also removes dead members that are not replaced. A dead voter is removed only if at least minVoters
 // live voters remain. Without these removals, a voter that dies just before its replacement becomes a voter would count
