Review: let the kill in case 4 come a second after the DELETE

The order of events needs no window of milliseconds: the node may be killed at any time between the ack of the DELETE and the arrival of the late ping.

sh review/build.sh && review/4/run.sh

--- a/review/standin/case_late_ping.go
+++ b/review/standin/case_late_ping.go
@@ -15,9 +15,11 @@
 
 const (
 	// pingDelay is how late the last ping of the backend arrives.
-	pingDelay = 4500 * time.Millisecond
+	pingDelay = 5 * time.Second
+	// killDelay is the time from the ack of the DELETE to the kill of the node.
+	killDelay = time.Second
 	// servesOn is how long the backend serves after the ack of its DELETE, before it exits.
-	servesOn = 8 * time.Second
+	servesOn = 9 * time.Second
 	// bookingTime is the work of a booking.
 	bookingTime = 300 * time.Millisecond
 )
@@ -25,7 +27,7 @@
 // latePing lets a backend leave with DELETE and kills the node beside it after the ack. A ping that the backend sent before
 // the DELETE arrives late. The rule DRAIN is judged.
 func latePing(w *world) bool {
-	routes := []route{{"r-reservar", "/reservar/", "unsafe", 2, shifts}}
+	routes := []route{{name: "r-reservar", prefix: "/reservar/", kind: "unsafe", timeout: 2, service: shifts}}
 	_, sides := w.startSmall(map[string]int{shifts: 2, calendar: 1}, []string{shifts, calendar}, configuration(1, routes, shifts, calendar))
 	ran := &arrivals{}
 	var backends []*backend
@@ -63,7 +65,7 @@
 	}
 	started := acked
 	if w.trouble {
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(killDelay)
 		m := leaving.machine
 		m.stop(syscall.SIGKILL)
 		time.Sleep(restartDelay)
