--- a/review/standin/case_long_answer.go
+++ b/review/standin/case_long_answer.go
@@ -17,7 +17,7 @@
 // configuration: from its sending until ConfigPropagationS + 1 s after its ack.
 func longAnswer(w *world) bool {
 	routeTo := func(service string) []route {
-		return []route{{"r-report", "/report/", "safe", 5, service}}
+		return []route{{name: "r-report", prefix: "/report/", kind: "safe", timeout: 5, service: service}}
 	}
 	o, sides := w.startSmall(map[string]int{shifts: 2, calendar: 2}, []string{shifts, calendar}, configuration(1, routeTo(shifts), shifts, calendar))
 	ran := &arrivals{}
--- a/review/standin/case_poison.go
+++ b/review/standin/case_poison.go
@@ -20,7 +20,10 @@
 // crashingRequest restarts the nodes one after the other while a request that crashes backends comes again and again. The
 // rule BUDGET is judged: retries that reach backends later than StableWindowS after the third crash.
 func crashingRequest(w *world) bool {
-	routes := []route{{"r-turno", "/turno/", "safe", 2, shifts}, {"r-reservar", "/reservar/", "unsafe", 2, shifts}}
+	routes := []route{
+		{name: "r-turno", prefix: "/turno/", kind: "safe", timeout: 2, service: shifts},
+		{name: "r-reservar", prefix: "/reservar/", kind: "unsafe", timeout: 2, service: shifts},
+	}
 	_, sides := w.startSmall(map[string]int{shifts: 4}, []string{shifts}, configuration(1, routes, shifts))
 	ran := &arrivals{}
 	for _, m := range sides {
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -15,6 +17,20 @@
 	kind    string
 	timeout float64
 	service string
+	// weights divides the requests between two services; service is not used then.
+	weights map[string]int
+}
+
+// target returns the values of TrafficSplit and Service.
+func (r route) target() string {
+	if r.weights == nil {
+		return fmt.Sprintf("null,2,%q", r.service)
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(r.weights)) {
+		parts = append(parts, fmt.Sprintf(`{"Service":%q,"Weight":%d}`, name, r.weights[name]))
+	}
+	return "[" + strings.Join(parts, ",") + "],2,null"
 }
 
 // host is the host of all routes.
@@ -28,7 +44,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `[%q,%q,%q,%q,%g,0.3,2,null,2,%q]`, r.name, host, r.prefix, r.kind, r.timeout, r.service)
+		fmt.Fprintf(&b, `[%q,%q,%q,%q,%g,0.3,2,%s]`, r.name, host, r.prefix, r.kind, r.timeout, r.target())
 	}
 	b.WriteString(`]},"Services":{"Columns":["Name","HealthPath","MaxConnections","Protocol","Tls"],"Rows":[`)
 	for i, name := range services {
