--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -80,15 +80,38 @@
 		return nil, err
 	}
 	w := &world{root: root, dir: dir, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: record}
+	for !w.drawAddresses() {
+		continue
+	}
+	w.logf("TROUBLE=%t", w.trouble)
+	return w, nil
+}
+
+// Ports of a deployment: those of Listen and of the backend from the first on, and the internal ones.
+const (
+	portCount     = 26
+	internalPorts = 16
+	maxMachines   = 10
+)
+
+// drawAddresses draws a loopback network and ports, and reports whether all of them are free.
+func (w *world) drawAddresses() bool {
 	w.network = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
-	w.ports = map[string]int{}
 	base := 21000 + 40*rand.IntN(200)
+	w.ports = map[string]int{"Internal": base + portCount - internalPorts}
 	for i, name := range []string{"Inbound", "Outbound", "Ready", "Control", "App"} {
 		w.ports[name] = base + i
 	}
-	w.ports["Internal"] = base + 10
-	w.logf("TROUBLE=%t", w.trouble)
-	return w, nil
+	for i := 1; i <= maxMachines; i++ {
+		for port := base; port < base+portCount; port++ {
+			listener, err := net.Listen("tcp", net.JoinHostPort(w.network+strconv.Itoa(i), strconv.Itoa(port)))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
+		}
+	}
+	return true
 }
 
 // logf writes a line to record.txt, with the time since the start of the case in seconds.
@@ -160,7 +183,7 @@
 		p("Service = %q", m.service)
 	}
 	p("[LocalNode.Limits]\nCpuShare = 0.48\nCores = 1\nMemoryMb = %d\nMaxFds = 4096\nLinkMbps = 1000.0", memory)
-	p("[Network]\nInternalPortRange = [%d,%d]", w.ports["Internal"], w.ports["Internal"]+15)
+	p("[Network]\nInternalPortRange = [%d,%d]", w.ports["Internal"], w.ports["Internal"]+internalPorts-1)
 	p("Seeds = [\"%s\"]", strings.Join(w.seeds, `","`))
 	p("[Network.Listen]\nControl = %q", m.addr("Control"))
 	if !m.core {
