--- a/review/standin/case_many_changes.go
+++ b/review/standin/case_many_changes.go
@@ -26,8 +26,8 @@
 	readPeriod = stableWindow + time.Second
 )
 
-// manyChanges sends hundreds of changes, each of which changes the time-outs and the weights of all routes. The platform kills a process
-// that uses more than MemoryMb, as the pages say, and starts it again.
+// manyChanges sends hundreds of changes, each of which changes the time-outs and the weights of all routes. The platform
+// kills a process that uses more than MemoryMb, as the pages say, and starts it again.
 func manyChanges(w *world) bool {
 	document := func(version int) string {
 		var routes []route
