Bound the stored answers by their bytes

Cause: the same as that of the history, found beside it: the answers kept for resends were bounded by number only.

--- a/internal/state/history_test.go
+++ b/internal/state/history_test.go
@@ -58,7 +58,7 @@
 		require.NoError(t, proto.Unmarshal(m.Apply(number, 1, changeAllRoutes(t, number)), result))
 		require.Equal(t, accepted, result.Publish.Outcome, result.Publish.Detail)
 	}
-require.Less(t, heapInUse()-before, int64(stateHeapLimit))
+	require.Less(t, heapInUse()-before, int64(stateHeapLimit))
 
 	snapshot, err := m.Snapshot()
 	require.NoError(t, err)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -26,7 +26,7 @@
 
 // NewMachine returns a machine with an empty state at version 0.
 func NewMachine() *Machine {
-	m := &Machine{answers: newAnswerStore(maxStoredAnswers), documents: newAcceptedDocuments(nil), changed: make(chan struct{})}
+	m := &Machine{answers: newAnswerStore(maxStoredAnswers, maxStoredAnswerBytes), documents: newAcceptedDocuments(nil), changed: make(chan struct{})}
 	m.view.Store(emptyView())
 	return m
 }
@@ -207,7 +207,7 @@
 		return err
 	}
 	m.documents = newAcceptedDocuments(image.AcceptedDocuments)
-	m.answers = newAnswerStore(maxStoredAnswers)
+	m.answers = newAnswerStore(maxStoredAnswers, maxStoredAnswerBytes)
 	for _, answer := range image.Answers {
 		m.answers.put(answer)
 	}
