--- a/internal/distribution/history.go
+++ b/internal/distribution/history.go
@@ -15,15 +15,27 @@
 const (
 	// maxVersions is the number of versions of a failure domain's snapshot that are kept as bases of deltas.
 	maxVersions = 256
-	// maxSubsets bounds the number of cached subsets, one for each requested set of services.
-	maxSubsets = 256
+	// minChangedBytes is the size of the changes since the oldest version, in bytes of encoded entities, up to which
+	// versions are kept however small the snapshot is.
+	minChangedBytes = 64 << 10
+	// maxSubsets bounds the number of cached subsets, one for each requested set of services, and maxSubsetBytes their
+	// total size if each of them were the whole snapshot.
+	maxSubsets     = 256
+	maxSubsetBytes = 32 << 20
 )
 
 // History holds the newest versions of one failure domain's snapshot, and caches the encoded updates for each requested
 // set of services. An update is encoded once and shared by all watchers. History is safe for concurrent use.
 type History struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// versions holds the newest versions, oldest first. A version is kept as long as the changes since it are no larger than
+	// the newest snapshot, because a larger delta is never sent. The versions share their unchanged entities, so together
+	// they take little more than twice the memory of the newest one.
 	versions []*apiv1.Snapshot
+	// changedBytes holds, for each version, the size of the entities that the version before does not have.
+	changedBytes []int
+	// newestBytes is the size of the entities of the newest version.
+	newestBytes int
 	// filters is kept from version to version; subsets belongs to the newest one.
 	filters map[string]*snapshot.Filter
 	subsets map[string]*subset
@@ -38,20 +50,39 @@
 func (h *History) Put(snap *apiv1.Snapshot) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	previous := &apiv1.Snapshot{}
 	if newest := h.newest(); newest != nil {
 		if snap.Version <= newest.Version {
 			return false
 		}
 		snap = snapshot.ShareUnchanged(newest, snap)
+		previous = newest
 	}
+	added, removed := snapshot.ChangedBytes(previous, snap)
 	h.versions = append(h.versions, snap)
-	if len(h.versions) > maxVersions {
-		h.versions = append([]*apiv1.Snapshot(nil), h.versions[len(h.versions)-maxVersions:]...)
-	}
+	h.changedBytes = append(h.changedBytes, added)
+	h.newestBytes += added - removed
+	h.evict()
 	h.subsets = map[string]*subset{}
 	return true
 }
 
+// evict drops the oldest versions beyond the limits. The newest version is always kept.
+func (h *History) evict() {
+	first := max(len(h.versions)-maxVersions, 0)
+	limit := max(minChangedBytes, h.newestBytes)
+	changed := 0
+	for i := len(h.versions) - 1; i > first; i-- {
+		if changed += h.changedBytes[i]; changed > limit {
+			first = i
+		}
+	}
+	if first > 0 {
+		h.versions = append([]*apiv1.Snapshot(nil), h.versions[first:]...)
+		h.changedBytes = append([]int(nil), h.changedBytes[first:]...)
+	}
+}
+
 // Newest returns the newest snapshot, nil when there is none. The caller must not modify it.
 func (h *History) Newest() *apiv1.Snapshot {
 	h.mu.Lock()
@@ -114,7 +145,7 @@
 	if s := h.subsets[key]; s != nil {
 		return s
 	}
-	if len(h.filters) >= maxSubsets {
+	if len(h.filters) >= h.subsetLimit() {
 		h.filters, h.subsets = map[string]*snapshot.Filter{}, map[string]*subset{}
 	}
 	filter := h.filters[key]
@@ -127,6 +158,11 @@
 	return s
 }
 
+// subsetLimit returns the number of subsets that may be cached. One is always cached.
+func (h *History) subsetLimit() int {
+	return max(min(maxSubsets, maxSubsetBytes/max(h.newestBytes, 1)), 1)
+}
+
 // subset is the newest version reduced to the closure of some services, with its encoded updates.
 type subset struct {
 	filter  *snapshot.Filter
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -154,6 +154,36 @@
 	return list
 }
 
+// ChangedBytes returns the encoded size of the entities of the later of two snapshots that the earlier one does not have,
+// and the size of those that only the earlier one has. A changed entity counts on both sides. The later snapshot must share
+// the unchanged entities with the earlier one; see ShareUnchanged.
+func ChangedBytes(from, to *apiv1.Snapshot) (added, removed int) {
+	for _, sizes := range [][2]int{
+		changedEntityBytes(from.Services, to.Services),
+		changedEntityBytes(from.Routes, to.Routes),
+		changedEntityBytes(from.Resources, to.Resources),
+	} {
+		added += sizes[0]
+		removed += sizes[1]
+	}
+	return added, removed
+}
+
+func changedEntityBytes[E entity](from, to []E) (sizes [2]int) {
+	eachPair(from, to, func(before E, inFrom bool, after E, inTo bool) {
+		if inFrom && inTo && any(before) == any(after) {
+			return
+		}
+		if inTo {
+			sizes[0] += proto.Size(after)
+		}
+		if inFrom {
+			sizes[1] += proto.Size(before)
+		}
+	})
+	return sizes
+}
+
 func sortEntities[E entity](list []E) {
 	slices.SortFunc(list, func(a, b E) int { return strings.Compare(a.GetName(), b.GetName()) })
 }
