Bound the versions that a relay keeps before their release

A relay that the other relays do not answer, while its control instance does, kept every version, bounded by nothing.

Change: 8 versions; beyond them the newest takes the place of the one before. The oldest stay, so relays that lag still let versions go.

--- a/internal/distribution/relay_state.go
+++ b/internal/distribution/relay_state.go
@@ -13,6 +13,10 @@
 // ErrStale is wrapped by the error for a version that is not newer than the held one, or is from an older term.
 var ErrStale = errors.New("not newer than the held version")
 
+// maxUnreleased is the number of versions that a relay keeps while no quorum of the relays holds them. It covers the versions
+// of a few round trips between relays.
+const maxUnreleased = 8
+
 // relayState is the configuration state of a relay: the versions that it holds, which of them are released, and when it
 // last had contact with the control group. It is the relay's Source and safe for concurrent use.
 type relayState struct {
@@ -31,7 +35,8 @@
 
 	mu      sync.Mutex
 	tracker *AckTracker
-	// unreleased holds the versions that are not released yet, oldest first; newest is the newest version of all.
+	// unreleased holds versions that are not released yet, oldest first, the newest one among them; newest is the newest
+	// version of all.
 	unreleased []*apiv1.Snapshot
 	newest     *apiv1.Snapshot
 	// relays is the newest known set of relays, from a version or from another process.
@@ -80,7 +85,7 @@
 	s.held.Put(snap)
 	snap = s.held.Newest()
 	s.newest = snap
-	s.unreleased = append(s.unreleased, snap)
+	s.addUnreleased(snap)
 	s.accepted = max(s.accepted, snap.Version)
 	s.refusedVersion, s.refusal = 0, ""
 	s.tracker.RecordHeld(snap.Version)
@@ -90,6 +95,17 @@
 	return nil
 }
 
+// addUnreleased adds a version to those that are not released yet. Beyond maxUnreleased, it takes the place of the one before:
+// the oldest versions stay, so that a release does not have to wait for relays that lag behind the newest one. The caller
+// must hold mu.
+func (s *relayState) addUnreleased(snap *apiv1.Snapshot) {
+	if len(s.unreleased) < maxUnreleased {
+		s.unreleased = append(s.unreleased, snap)
+		return
+	}
+	s.unreleased[len(s.unreleased)-1] = snap
+}
+
 // learnRelays records a set of relays from another process when it is newer than the known one.
 func (s *relayState) learnRelays(relays *apiv1.Assignment) {
 	s.mu.Lock()
