Bound the replicated log by its bytes

Change: a limit in bytes beside each number. One entry of any size still goes through where it is alone.

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -11,6 +11,9 @@
 	DefaultMaxUncommitted     = 4096
 	DefaultSnapshotChunkBytes = 256 << 10
 	DefaultRetainedEntries    = 1024
+
+	DefaultRetainedBytes       = 4 << 20
+	DefaultMaxUncommittedBytes = 16 << 20
 )
 
 // Config configures a Node. Numeric fields that are not positive get the defaults above.
@@ -28,11 +31,16 @@
 	MaxInflight int
 	// MaxUncommitted limits the uncommitted entries in a leader's log; further proposals are refused.
 	MaxUncommitted int
+	// MaxUncommittedBytes limits the total data of the uncommitted entries in the same way. One entry of any size is
+	// accepted when there is no other.
+	MaxUncommittedBytes int
 	// SnapshotChunkBytes is the maximum size of one chunk of a snapshot.
 	SnapshotChunkBytes int
 	// RetainedEntries is the number of entries before a snapshot that stay in the log, so that followers that lag
 	// only a little need no snapshot.
 	RetainedEntries int
+	// RetainedBytes limits the total data of these entries.
+	RetainedBytes int
 	// Rand is the source of the random election timeouts.
 	Rand *rand.Rand
 }
@@ -45,6 +53,8 @@
 	setDefault(&c.MaxUncommitted, DefaultMaxUncommitted)
 	setDefault(&c.SnapshotChunkBytes, DefaultSnapshotChunkBytes)
 	setDefault(&c.RetainedEntries, DefaultRetainedEntries)
+	setDefault(&c.RetainedBytes, DefaultRetainedBytes)
+	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
 	return c
 }
 
--- a/internal/raft/errors.go
+++ b/internal/raft/errors.go
@@ -6,7 +6,8 @@
 	// ErrNotLeader is returned for a proposal on a node that is not the leader, and for a read on a node that knows no
 	// leader.
 	ErrNotLeader = errors.New("raft: not the leader")
-	// ErrTooManyUncommitted is returned for a proposal while the log holds Config.MaxUncommitted uncommitted entries.
+	// ErrTooManyUncommitted is returned for a proposal while the log holds as many uncommitted entries, or as
+	// much uncommitted data, as Config allows.
 	ErrTooManyUncommitted = errors.New("raft: too many entries wait for their commit")
 	// ErrMembershipChangePending is returned for a membership change while the previous one is uncommitted, or before
 	// the leader has committed an entry of its own term.
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -207,14 +207,14 @@
 	}
 }
 
-// compact installs a snapshot that this node made itself and drops older entries, except the given number of retained
-// ones before the snapshot's index.
-func (l *entryLog) compact(snapshot Snapshot, retained uint64) {
+// compact installs a snapshot that this node made itself and drops older entries, except the newest ones before the
+// snapshot's index, of which it retains the given number and bytes of data at most.
+func (l *entryLog) compact(snapshot Snapshot, retained uint64, retainedBytes int) {
 	l.snapshot = snapshot
-	if snapshot.Index <= retained || snapshot.Index-retained <= l.baseIndex {
+	start := l.retainedAfter(snapshot.Index, retained, retainedBytes)
+	if start == l.baseIndex {
 		return
 	}
-	start := snapshot.Index - retained
 	term, _ := l.term(start)
 	base := l.membershipAt(start)
 	kept := []membershipRecord{{start, base}}
@@ -227,6 +227,27 @@
 	l.baseIndex, l.baseTerm, l.memberships = start, term, kept
 }
 
+// retainedAfter returns the index after which at most the given number of entries and bytes of data follow up to index.
+func (l *entryLog) retainedAfter(index, retained uint64, retainedBytes int) uint64 {
+	start := index
+	for start > l.baseIndex && index-start < retained {
+		if retainedBytes -= len(l.entries[start-l.baseIndex-1].Data); retainedBytes < 0 {
+			break
+		}
+		start--
+	}
+	return start
+}
+
+// uncommittedBytes returns the total data of the entries that are not committed.
+func (l *entryLog) uncommittedBytes() int {
+	size := 0
+	for _, entry := range l.slice(l.committed, l.last()) {
+		size += len(entry.Data)
+	}
+	return size
+}
+
 // membershipAt returns the membership in effect at index.
 func (l *entryLog) membershipAt(index uint64) *apiv1.ReplicaMembership {
 	i := sort.Search(len(l.memberships), func(i int) bool { return l.memberships[i].index > index })
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -7,7 +7,8 @@
 	if n.role != Leader || !n.isVoter(n.cfg.ID) {
 		return 0, 0, ErrNotLeader
 	}
-	if n.log.last()-n.log.committed >= uint64(n.cfg.MaxUncommitted) {
+	uncommitted := n.log.uncommittedBytes()
+	if n.log.last()-n.log.committed >= uint64(n.cfg.MaxUncommitted) || uncommitted > 0 && uncommitted+len(data) > n.cfg.MaxUncommittedBytes {
 		return 0, 0, ErrTooManyUncommitted
 	}
 	return n.appendEntry(apiv1.EntryKind_ENTRY_KIND_COMMAND, data), n.term, nil
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -165,3 +165,49 @@
 	require.NotNil(t, c.leader())
 	require.Len(t, c.leader().node.Membership().Members, 2)
 }
+
+// TestRetainedEntriesAreBoundedByBytes guards against a log that fills the memory with large entries that only slow members
+// could still need, because their number alone was bounded.
+func TestRetainedEntriesAreBoundedByBytes(t *testing.T) {
+	const entryBytes, retainedBytes = 1000, 5500
+	c := newCluster(t, 1, 3, 0, Config{RetainedBytes: retainedBytes})
+	leader := c.awaitLeader(maxTicks, nil)
+	for range 50 {
+		_, _, err := leader.node.Propose(make([]byte, entryBytes))
+		require.NoError(t, err)
+		c.tickAndDeliver(nil)
+	}
+	for _, m := range c.members {
+		c.compact(m)
+		retained := 0
+		for _, entry := range m.node.log.slice(m.node.log.baseIndex, m.node.log.snapshot.Index) {
+			retained += len(entry.Data)
+		}
+		require.LessOrEqual(t, retained, retainedBytes)
+		require.GreaterOrEqual(t, retained, retainedBytes-entryBytes, "as much as the limit allows is kept for slow members")
+	}
+	before := leader.node.Applied()
+	_, _, err := leader.node.Propose([]byte("next"))
+	require.NoError(t, err)
+	c.tickAndDeliver(nil)
+	c.tickAndDeliver(nil)
+	require.Greater(t, leader.node.Applied(), before)
+}
+
+// TestUncommittedEntriesAreBoundedByBytes guards against a leader without a quorum whose memory fills with large proposals.
+func TestUncommittedEntriesAreBoundedByBytes(t *testing.T) {
+	c := newCluster(t, 1, 3, 0, Config{MaxUncommittedBytes: 2500})
+	leader := c.awaitLeader(maxTicks, nil)
+	c.tickAndDeliver(nil)
+	for range 2 {
+		_, _, err := leader.node.Propose(make([]byte, 1000))
+		require.NoError(t, err)
+	}
+	_, _, err := leader.node.Propose(make([]byte, 1000))
+	require.ErrorIs(t, err, ErrTooManyUncommitted)
+	for range DefaultElectionTicks {
+		c.tickAndDeliver(nil)
+	}
+	_, _, err = leader.node.Propose(make([]byte, 3000))
+	require.NoError(t, err, "one entry of any size is accepted")
+}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -19,7 +19,7 @@
 		term = n.log.snapshot.Term
 	}
 	snapshot := Snapshot{Index: index, Term: term, Membership: n.log.membershipAt(index), Data: data}
-	n.log.compact(snapshot, uint64(n.cfg.RetainedEntries))
+	n.log.compact(snapshot, uint64(n.cfg.RetainedEntries), n.cfg.RetainedBytes)
 	return snapshot
 }
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -121,6 +121,7 @@
 		if err := r.restoreState(ready.Snapshot.Data); err != nil {
 			return err
 		}
+		r.appliedBytes = 0
 		r.failProposalsUpTo(ready.Snapshot.Index)
 	}
 	if ready.HardState == nil && len(ready.Entries) == 0 {
@@ -143,15 +144,18 @@
 		if entry.Kind == apiv1.EntryKind_ENTRY_KIND_COMMAND {
 			result = r.options.StateMachine.Apply(entry.Index, entry.Term, entry.Data)
 		}
+		r.appliedBytes += len(entry.Data)
 		r.completeProposal(entry.Index, entry.Term, result)
 	}
 }
 
-// snapshotIfDue takes a snapshot and compacts the log once SnapshotEvery entries were applied since the last one.
+// snapshotIfDue takes a snapshot and compacts the log once SnapshotEvery entries, or entries with SnapshotBytes of data,
+// were applied since the last one.
 func (r *Replica) snapshotIfDue() error {
-	if r.node.Applied() < r.node.SnapshotIndex()+r.options.SnapshotEvery {
+	if r.node.Applied() < r.node.SnapshotIndex()+r.options.SnapshotEvery && r.appliedBytes < r.options.SnapshotBytes {
 		return nil
 	}
+	r.appliedBytes = 0
 	data, err := r.options.StateMachine.Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "replica: encode a snapshot")
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -14,6 +14,7 @@
 const (
 	DefaultTickInterval  = 50 * time.Millisecond
 	DefaultSnapshotEvery = 4096
+	DefaultSnapshotBytes = 16 << 20
 )
 
 // Options configures a Replica.
@@ -44,6 +45,9 @@
 	HeartbeatTicks int
 	// SnapshotEvery is the number of log entries between two snapshots.
 	SnapshotEvery uint64
+	// SnapshotBytes is the total data of log entries in bytes after which a snapshot is taken earlier. It bounds what a
+	// starting instance reads and replays.
+	SnapshotBytes int
 	// RetainedEntries is the number of entries before a snapshot that stay in the log.
 	RetainedEntries int
 	// SegmentBytes is the size after which a new log segment is started.
@@ -61,6 +65,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.SnapshotBytes <= 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if o.RetainedEntries <= 0 {
 		o.RetainedEntries = raft.DefaultRetainedEntries
 	}
--- a/internal/replica/proposal.go
+++ b/internal/replica/proposal.go
@@ -9,8 +9,12 @@
 	"samphireflow/internal/raft"
 )
 
-// maxWaitingProposals limits the number of proposals that wait for the election of a leader.
-const maxWaitingProposals = 1024
+const (
+	// maxWaitingProposals limits the number of proposals that wait for the election of a leader.
+	maxWaitingProposals = 1024
+	// maxWaitingBytes limits their total data. One proposal of any size may wait.
+	maxWaitingBytes = 16 << 20
+)
 
 // These are the stages of a proposal. Only a queued proposal can be withdrawn.
 const (
@@ -105,18 +109,21 @@
 
 // waitForLeader keeps a proposal until a leader is known.
 func (r *Replica) waitForLeader(p *proposal) {
-	if len(r.waitingProposals) >= maxWaitingProposals {
+	full := len(r.waitingProposals) >= maxWaitingProposals ||
+		len(r.waitingProposals) > 0 && r.waitingBytes+len(p.data) > maxWaitingBytes
+	if full {
 		p.complete(nil, errors.Wrap(ErrNoQuorum, "too many proposals wait for a leader"))
 		return
 	}
 	r.waitingProposals = append(r.waitingProposals, p)
+	r.waitingBytes += len(p.data)
 }
 
 // retryWaitingProposals handles the waiting proposals again, which are kept if there is still no leader, and drops
 // those that were withdrawn.
 func (r *Replica) retryWaitingProposals() {
 	waiting := r.waitingProposals
-	r.waitingProposals = nil
+	r.waitingProposals, r.waitingBytes = nil, 0
 	for _, p := range waiting {
 		if p.stage.Load() == stageQueued {
 			r.handleProposal(p)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -41,8 +41,11 @@
 	clock *tickClock
 	// pendingProposals holds the proposals in the log that are not applied yet, by log index.
 	pendingProposals map[uint64]*proposal
-	// waitingProposals holds the proposals that wait for a leader.
+	// appliedBytes is the total data of the entries that were applied since the newest snapshot.
+	appliedBytes int
+	// waitingProposals holds the proposals that wait for a leader, and waitingBytes the total of their data.
 	waitingProposals []*proposal
+	waitingBytes     int
 	// pendingReads holds the reads that are not complete, by ID.
 	pendingReads map[uint64]*readRequest
 	lastReadID   uint64
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -79,3 +79,38 @@
 		}
 	}
 }
+
+// TestLargeEntriesBringForwardSnapshot guards against a log of large entries that a starting instance cannot load, because
+// snapshots were taken by the number of entries only.
+func TestLargeEntriesBringForwardSnapshot(t *testing.T) {
+	const entryBytes, snapshotBytes = 1000, 10_000
+	r, err := Open(Options{
+		ID: "c0", ClusterID: "test", Dir: t.TempDir(), InitialMembers: []Member{{ID: "c0", ControlAddr: "127.0.0.1:1"}},
+		StateMachine: &recordingStateMachine{}, Transport: NewTwirpTransport(TwirpOptions{ClusterID: "test", Logger: zerolog.Nop()}),
+		Logger: zerolog.Nop(), SnapshotBytes: snapshotBytes, RetainedEntries: 1,
+	})
+	require.NoError(t, err)
+	defer r.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for range 100 {
+		_, err := r.Propose(ctx, make([]byte, entryBytes))
+		require.NoError(t, err)
+	}
+	var unsnapshotted uint64
+	require.NoError(t, r.runOnLoop(ctx, func() { unsnapshotted = r.node.LastIndex() - r.node.SnapshotIndex() }))
+	require.LessOrEqual(t, unsnapshotted, uint64(snapshotBytes/entryBytes))
+}
+
+// TestWaitingProposalsAreBoundedByBytes guards against an instance without a leader whose memory fills with proposals.
+func TestWaitingProposalsAreBoundedByBytes(t *testing.T) {
+	r := &Replica{}
+	var waiting []*proposal
+	for range 4 {
+		p := &proposal{data: make([]byte, maxWaitingBytes/3), done: make(chan proposalResult, 1)}
+		r.waitForLeader(p)
+		waiting = append(waiting, p)
+	}
+	require.Len(t, r.waitingProposals, 3)
+	require.ErrorIs(t, (<-waiting[3].done).err, ErrNoQuorum)
+}
