Let the garbage collector know the memory limit of the process

Change: the setting memory-limit, from MemoryMb on the platform. The collector keeps the heap within three quarters of it where what is in use allows that.

--- a/cmd/samphireflowd/main.go
+++ b/cmd/samphireflowd/main.go
@@ -93,6 +93,7 @@
 }
 
 func serve(s *settings.Settings, platformOptions daemon.PlatformOptions, output io.Writer, reloader settingsReloader) int {
+	limitHeap(s.MemoryLimitMB)
 	logger := newLogger(s, output)
 	log.SetFlags(0)
 	log.SetOutput(standardLog{logger})
