Keep acknowledged drains beyond the memory of the node

Cause: that a backend server leaves was known to its node's memory alone. The node was killed, took a late heartbeat for the first one, and announced the backend server as ready under a higher revision, which every table of members took for newer. A DELETE at a node that had had no heartbeat since its start was acknowledged and dropped. The same stood on the other ways to drain: the backend server's own word, and an operator's order to a node (Traffic/Drain of the own interface), which a restart of the node undid.

Change: a record says that its incarnation leaves, or which order to drain it is the newest, and of two records of an incarnation this decides before the revision does. The home of the leases answers a node that does not know with its own record, and the node takes it over. A drain is acknowledged only once another process has it: a control instance stores it in the file departures before it confirms, a relay hands it on. A control instance that starts reads the file, so that the end of all processes at once does not undo it either.

--- /dev/null
+++ b/internal/control/departure_loop.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// departureInterval is the time between two checks for departures that came from other control instances.
+const departureInterval = time.Second
+
+// departureLoop stores the departures that this instance has learned from others. Those that its own nodes announce are stored
+// before they are confirmed.
+func (s *Server) departureLoop(ctx context.Context) error {
+	ticker := time.NewTicker(departureInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			_ = s.saveDepartures()
+		}
+	}
+}
+
+// saveDepartures stores all departures that the table of members holds. It logs a failure when it follows a success.
+func (s *Server) saveDepartures() error {
+	if s.options.Departures == nil {
+		return nil
+	}
+	err := s.options.Departures.Save(s.members.Drains())
+	if failing := err != nil; s.departuresFailing.Swap(failing) != failing {
+		s.options.Logger.Info().Bool("stored", !failing).AnErr("cause", err).Msg("storage of departures changed")
+	}
+	return err
+}
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -6,6 +6,7 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 )
 
 // membershipService serves the twirp service Membership.
@@ -24,7 +25,11 @@
 		Version: s.options.Machine.View().Version,
 		AgeMs:   uint64(s.options.Log.Status().LastContact.Milliseconds()),
 	}
+	carriesDrain := distribution.CarriesDrain(request.Servers) || len(request.LeavingServers) > 0
 	s.members.Renew(request, response, s.now())
+	if carriesDrain && s.saveDepartures() != nil {
+		response.DrainNotStored = true
+	}
 	return response, nil
 }
 
--- a/internal/control/relay_service.go
+++ b/internal/control/relay_service.go
@@ -16,6 +16,10 @@
 func (s relayService) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
 	source := watchSource(s)
 	response := distribution.HandleSync(s.members, request, source.MembersComplete(), s.now())
+	if distribution.CarriesDrain(request.Servers) {
+		// A failure is logged, and the departure loop tries again.
+		_ = s.saveDepartures()
+	}
 	response.Instance = s.options.Instance
 	response.AgeMs = uint64(source.Age().Milliseconds())
 	return response, nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,11 +26,22 @@
 	Status() replica.Status
 }
 
+// Departures stores the records of backend servers that leave or that operators have ordered to drain. *departures.Store
+// implements it.
+type Departures interface {
+	// Servers lists the stored records.
+	Servers() []*apiv1.BackendServer
+	// Save durably stores those of the given records that are not stored yet.
+	Save(servers []*apiv1.BackendServer) error
+}
+
 // Options configures a Server.
 type Options struct {
 	Instance string
 	Log      Log
 	Machine  *state.Machine
+	// Departures may be nil; what is known of departures then ends with the process.
+	Departures Departures
 	// Client sends requests to other processes. If it is nil, the server creates its own clients.
 	Client *http.Client
 	// Direct means that nodes follow the control instances without relays: no relays and no claim holders are assigned.
@@ -52,7 +64,9 @@
 	// peerClient sends requests for the membership: to the other control instances, and probes to nodes.
 	peerClient *http.Client
 	started    time.Time
-	now        func() time.Time
+	// departuresFailing is set while departures cannot be stored.
+	departuresFailing atomic.Bool
+	now               func() time.Time
 }
 
 const (
@@ -80,6 +94,9 @@
 		// Only the monotonic clock counts after the start, so that steps of the wall clock have no effect.
 		now: func() time.Time { return started.Add(time.Since(started)) },
 	}
+	if options.Departures != nil {
+		members.Remember(options.Departures.Servers(), started)
+	}
 	s.watchServer = distribution.NewWatchServer(watchSource{s}, members)
 	s.snapshotBuilder = newSnapshotBuilder(s.watchServer.Stats().RecordBuild)
 	s.failureDetector = distribution.NewFailureDetector(members, peerClient, s.otherControlClients)
@@ -136,6 +153,7 @@
 	group.Go(func() error { return s.servingLoop(ctx) })
 	group.Go(func() error { return s.moveLoop(ctx) })
 	group.Go(func() error { return s.adoptLoop(ctx) })
+	group.Go(func() error { return s.departureLoop(ctx) })
 	if !s.options.Direct {
 		group.Go(func() error { return s.assignLoop(ctx) })
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/control"
+	"samphireflow/internal/departures"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/replica"
@@ -20,6 +21,7 @@
 	"samphireflow/internal/settings"
 	"samphireflow/internal/state"
 	"samphireflow/internal/tracing"
+	"samphireflow/internal/wal"
 )
 
 // clusterID identifies the control group, so that instances of different groups do not exchange messages by mistake.
@@ -126,12 +128,17 @@
 	}
 	d.replica = log
 	d.machine = machine
+	departed, err := departures.Open(wal.OS{}, d.settings.DataDir)
+	if err != nil {
+		logger.Error().Err(err).Msg("the file of departed backend servers is damaged; this instance starts without it")
+	}
 	d.control = control.New(control.Options{
-		Instance: d.controlID(),
-		Direct:   d.settings.UsesControlSeeds(),
-		Log:      log,
-		Machine:  machine,
-		Logger:   logger,
+		Instance:   d.controlID(),
+		Direct:     d.settings.UsesControlSeeds(),
+		Log:        log,
+		Machine:    machine,
+		Departures: departed,
+		Logger:     logger,
 	})
 	return nil
 }
--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -32,9 +33,15 @@
 }
 
 // Renew extends the leases of a node (twirp service Membership).
-func (r *Relay) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
+func (r *Relay) Renew(ctx context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
 	response := &apiv1.RenewResponse{AgeMs: uint64(r.state.Age().Milliseconds())}
 	r.hub.Renew(request, response, time.Now())
+	drains := slices.DeleteFunc(slices.Concat(request.Servers, response.Overruling), func(server *apiv1.BackendServer) bool {
+		return !member.CarriesDrain(server)
+	})
+	if len(drains) > 0 {
+		response.DrainNotStored = !r.handOn(ctx, drains)
+	}
 	if newest := r.state.released.Newest(); newest != nil {
 		response.Version = newest.Version
 	}
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -55,6 +55,22 @@
 		return
 	}
 	response.RefutedRevision = h.table.Renew(request, now)
+	response.Overruling = h.table.Overruling(request)
+}
+
+// Drains lists the records that must outlast the restart of a node; see Table.Drains.
+func (h *Hub) Drains() []*apiv1.BackendServer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Drains()
+}
+
+// Remember adds records that Drains listed before this process started; see Table.Remember.
+func (h *Hub) Remember(drains []*apiv1.BackendServer, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Remember(drains, now)
+	h.changedSeq = h.table.SyncSeq()
 }
 
 // Merge merges records of another table and records contact with the home that sent them; home may be empty.
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -26,19 +26,24 @@
 	end func(R) R
 	// sameForReaders reports whether two records look the same to readers.
 	sameForReaders func(a, b R) bool
+	// precedence orders two records of one incarnation by what outranks their revisions; 0 if nothing does.
+	precedence func(a, b R) int
 }
 
 func newLeaseSet[R record](self string, counters *counters, kind recordKind[R]) *leaseSet[R] {
 	return &leaseSet[R]{self: self, counters: counters, leases: map[string]*lease[R]{}, declaredGone: map[string]uint64{}, kind: kind}
 }
 
-// compare orders two records of one instance by incarnation, then by revision; of two that agree in both, the one that
-// ends the lease is the newer. The result is negative when a is older than b.
+// compare orders two records of one instance by incarnation, then by precedence, then by revision; of two that agree in all,
+// the one that ends the lease is the newer. The result is negative when a is older than b.
 func (s *leaseSet[R]) compare(a, b R) int {
 	aGone, bGone := s.kind.gone(a), s.kind.gone(b)
+	precedence := s.kind.precedence(a, b)
 	switch {
 	case a.GetIncarnation() != b.GetIncarnation():
 		return sign(a.GetIncarnation() > b.GetIncarnation())
+	case precedence != 0:
+		return precedence
 	case a.GetRevision() != b.GetRevision():
 		return sign(a.GetRevision() > b.GetRevision())
 	case aGone != bGone:
@@ -104,7 +109,7 @@
 		return s.revisionToExceed(r)
 	}
 	known := s.leases[r.GetInstance()]
-	if r.GetIncarnation() < known.record.GetIncarnation() {
+	if r.GetIncarnation() < known.record.GetIncarnation() || s.overruling(r) != nil {
 		return 0
 	}
 	if s.compare(r, known.record) != 0 || known.record.GetHome() != s.self {
@@ -116,6 +121,16 @@
 	return s.revisionToExceed(r)
 }
 
+// overruling returns the known lease of the same incarnation whose record takes precedence over the given one, nil if there is
+// none.
+func (s *leaseSet[R]) overruling(r R) *lease[R] {
+	known := s.leases[r.GetInstance()]
+	if known == nil || known.record.GetIncarnation() != r.GetIncarnation() || s.kind.precedence(known.record, r) <= 0 {
+		return nil
+	}
+	return known
+}
+
 // renewUnchanged extends a lease whose record has not changed. It reports false when the node has to send the record:
 // this process is not the home of an active lease, or another table declared the instance gone.
 func (s *leaseSet[R]) renewUnchanged(instance string, now time.Time) bool {
--- a/internal/member/record_kinds.go
+++ b/internal/member/record_kinds.go
@@ -15,6 +15,8 @@
 	},
 	// Readers see only backend servers, so no change of a node is visible to them.
 	sameForReaders: func(a, b *apiv1.NodeInfo) bool { return true },
+	// A node has no state that outlives its records.
+	precedence: func(a, b *apiv1.NodeInfo) int { return 0 },
 }
 
 var serverKind = recordKind[*apiv1.BackendServer]{
@@ -25,6 +27,20 @@
 		return ended
 	},
 	sameForReaders: sameForReaders,
+	precedence:     drainPrecedence,
+}
+
+// drainPrecedence orders two records of one incarnation of a backend server by what is known of its end: one that says that
+// it leaves comes first, then the one with the newer order of an operator. A node that has restarted knows of neither, and its
+// higher revision must not undo what was acknowledged before.
+func drainPrecedence(a, b *apiv1.BackendServer) int {
+	switch {
+	case a.Leaving != b.Leaving:
+		return sign(a.Leaving)
+	case a.DrainOrder != b.DrainOrder:
+		return sign(a.DrainOrder > b.DrainOrder)
+	}
+	return 0
 }
 
 // sameForReaders reports whether two records agree in all fields that readers see.
@@ -38,5 +54,7 @@
 	view.InFlight = 0
 	view.Revision = 0
 	view.Home = ""
+	view.DrainOrder = 0
+	view.DrainOrdered = false
 	return view
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -23,9 +23,10 @@
 // Table holds the leases of the nodes and backend servers that one process knows. It is not safe for concurrent use.
 //
 // Each lease has a home: the process at which its node renews it. Tables that have merged the same records are equal,
-// whatever the order: of two records of an instance, the one with the higher incarnation, then revision, wins, and the
-// end of a lease wins over an active lease of the same revision. A node that was wrongly declared gone refutes that by
-// announcing a higher revision.
+// whatever the order: of two records of an instance, the one with the higher incarnation wins, then the one that says that a
+// backend server leaves or has the newer order to drain it, then the one with the higher revision, and the end of a lease wins
+// over an active lease of the same revision. A node that was wrongly declared gone refutes that by announcing a higher
+// revision.
 //
 // Invariant: seq increases with every change that is visible to readers, and syncSeq with every change. Each lease
 // carries both numbers of its last change, so a reader at position s needs only the leases whose number is above s.
@@ -64,8 +65,8 @@
 }
 
 // Renew extends the leases named by a node's request and makes this process their home. It returns the revision that
-// the node must exceed before its renewal is accepted, or 0 when nothing is left to do. It keeps and modifies the
-// records of the request.
+// the node must exceed before its renewal is accepted, or 0 when nothing is left to do; see also Overruling. It keeps and
+// modifies the records of the request.
 func (t *Table) Renew(request *apiv1.RenewRequest, now time.Time) uint64 {
 	var mustExceed uint64
 	if info := request.Node; info != nil {
@@ -81,9 +82,67 @@
 		mustExceed = max(mustExceed, t.servers.renew(server, now))
 		t.resolveAddrConflict(server.Instance, now)
 	}
+	for _, instance := range request.LeavingServers {
+		if known := t.servers.leases[instance]; known != nil && known.record.Node == request.Node.GetInstance() && !known.record.Leaving {
+			t.servers.put(leavingRecord(known.record), now)
+		}
+	}
 	return mustExceed
 }
 
+// Overruling lists the records that are kept in place of those of a renewal, and those of its leaving backend servers.
+func (t *Table) Overruling(request *apiv1.RenewRequest) []*apiv1.BackendServer {
+	var list []*apiv1.BackendServer
+	for _, server := range request.Servers {
+		if known := t.servers.overruling(server); known != nil {
+			list = append(list, known.record)
+		}
+	}
+	for _, instance := range request.LeavingServers {
+		if known := t.servers.leases[instance]; known != nil && known.record.Leaving {
+			list = append(list, known.record)
+		}
+	}
+	return list
+}
+
+// leavingRecord returns a copy of a record that says that the backend server leaves.
+func leavingRecord(server *apiv1.BackendServer) *apiv1.BackendServer {
+	leaving := proto.Clone(server).(*apiv1.BackendServer)
+	leaving.Leaving = true
+	if leaving.State != apiv1.ServerState_SERVER_STATE_GONE {
+		leaving.State = apiv1.ServerState_SERVER_STATE_DRAINING
+	}
+	return leaving
+}
+
+// Drains lists the records that say that a backend server leaves, or that carry an order to drain it or to undo that. Those
+// of ended leases are included.
+func (t *Table) Drains() []*apiv1.BackendServer {
+	var list []*apiv1.BackendServer
+	for _, l := range t.servers.leases {
+		if CarriesDrain(l.record) {
+			list = append(list, l.record)
+		}
+	}
+	return list
+}
+
+// CarriesDrain reports whether a record says that the backend server leaves, or carries an order to drain it or to undo that.
+func CarriesDrain(server *apiv1.BackendServer) bool {
+	return server.Leaving || server.DrainOrder > 0
+}
+
+// Remember adds records that Drains listed before this process started, as ended leases. Their revision is the lowest, so that
+// an active lease with the same state wins.
+func (t *Table) Remember(drains []*apiv1.BackendServer, now time.Time) {
+	for _, server := range drains {
+		ended := serverKind.end(server)
+		ended.Revision = 0
+		t.servers.merge(ended, now)
+	}
+}
+
 // RenewUnchanged extends the leases of a node whose records have not changed since its last renewal. It reports false
 // when they are not known here; the node must then renew with complete records.
 func (t *Table) RenewUnchanged(request *apiv1.RenewRequest, now time.Time) bool {
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -168,6 +168,8 @@
 		Revision:    uint64(rapid.IntRange(1, 3).Draw(t, "revision")),
 		State:       apiv1.ServerState_SERVER_STATE_READY,
 	}
+	server.Leaving = rapid.Bool().Draw(t, "leaving")
+	server.DrainOrder = uint64(rapid.IntRange(0, 2).Draw(t, "drainOrder"))
 	server.Version = fmt.Sprintf("v%d.%d", server.Incarnation, server.Revision)
 	server.Addr = server.Instance
 	if rapid.Bool().Draw(t, "gone") {
@@ -184,3 +186,85 @@
 	}
 	return list
 }
+
+// TestRestartedNodeDoesNotUndoAnAnnouncedEnd guards against a backend server that gets work again after it was acknowledged
+// that it leaves: its node has restarted, takes a late heartbeat for the newest and announces it under a higher revision.
+func TestRestartedNodeDoesNotUndoAnAnnouncedEnd(t *testing.T) {
+	announce := func(table *Table, server *apiv1.BackendServer, at time.Time) []*apiv1.BackendServer {
+		server.Instance, server.Node, server.Addr, server.Incarnation = "s", "n", "1.1.1.1:1", 7
+		request := renew(server)
+		require.Zero(t, table.Renew(request, at), "a node without knowledge of overruling records has nothing to refute")
+		return table.Overruling(request)
+	}
+	ready, draining := apiv1.ServerState_SERVER_STATE_READY, apiv1.ServerState_SERVER_STATE_DRAINING
+	for _, c := range []struct {
+		name  string
+		known *apiv1.BackendServer
+	}{
+		{"withdrawn", &apiv1.BackendServer{State: draining, Leaving: true, Revision: 2}},
+		{"drained by an operator", &apiv1.BackendServer{State: draining, DrainOrder: 2, DrainOrdered: true, Revision: 2}},
+	} {
+		for _, leaseEnded := range []bool{false, true} {
+			home, other := NewTable("home"), NewTable("other")
+			require.Empty(t, announce(home, &apiv1.BackendServer{State: ready, Revision: 1}, start))
+			require.Empty(t, announce(home, c.known, start))
+			mergeAll(home, other, start)
+			now := start
+			if leaseEnded {
+				now = start.Add(LeaseTime + 1)
+				home.Expire(now)
+			}
+			for _, table := range []*Table{home, other} {
+				overruling := announce(table, &apiv1.BackendServer{State: ready, Revision: 9}, now)
+				require.Len(t, overruling, 1, c.name)
+				require.Equal(t, c.known.Leaving, overruling[0].Leaving)
+				for _, server := range table.Since(0, nil).Servers {
+					require.Equal(t, draining, server.State, c.name)
+				}
+			}
+			mergeAll(other, home, now)
+			for _, server := range home.Servers() {
+				require.Equal(t, draining, server.State, c.name)
+			}
+			require.Empty(t, announce(home, &apiv1.BackendServer{
+				State: draining, Leaving: c.known.Leaving, DrainOrder: c.known.DrainOrder, DrainOrdered: c.known.DrainOrdered, Revision: 10,
+			}, now), "a node that has learned of it is accepted")
+		}
+	}
+}
+
+// TestUndoneDrainAndNextIncarnationAreInService checks that only the end of the same incarnation and only the newest order
+// count.
+func TestUndoneDrainAndNextIncarnationAreInService(t *testing.T) {
+	table := NewTable("home")
+	server := func(incarnation, revision, order uint64) *apiv1.BackendServer {
+		return &apiv1.BackendServer{Instance: "s", Incarnation: incarnation, Revision: revision, DrainOrder: order, State: apiv1.ServerState_SERVER_STATE_READY}
+	}
+	drained := server(1, 1, 1)
+	drained.DrainOrdered, drained.State = true, apiv1.ServerState_SERVER_STATE_DRAINING
+	table.Renew(renew(drained), start)
+	table.Renew(renew(server(1, 2, 2)), start)
+	require.Equal(t, apiv1.ServerState_SERVER_STATE_READY, table.Servers()[0].State, "the order was undone")
+	withdrawn := server(1, 3, 2)
+	withdrawn.Leaving, withdrawn.State = true, apiv1.ServerState_SERVER_STATE_DRAINING
+	table.Renew(renew(withdrawn), start)
+	table.Renew(renew(server(2, 4, 0)), start)
+	require.Equal(t, apiv1.ServerState_SERVER_STATE_READY, table.Servers()[0].State, "the next incarnation is in service")
+}
+
+// TestWithdrawalByInstanceAlone covers a node that has restarted and hears of its backend server only that it leaves.
+func TestWithdrawalByInstanceAlone(t *testing.T) {
+	table := NewTable("home")
+	table.Renew(nodeRenewal(1, 1), start)
+	request := &apiv1.RenewRequest{Node: &apiv1.NodeInfo{Instance: "n", Incarnation: 2, Revision: 2}, LeavingServers: []string{"s", "unknown"}}
+	table.Renew(request, start)
+	require.Equal(t, apiv1.ServerState_SERVER_STATE_DRAINING, table.Servers()[0].State)
+	require.Len(t, table.Overruling(request), 1, "the node learns which incarnation leaves")
+
+	restarted := NewTable("home")
+	restarted.Remember(table.Drains(), start)
+	late := nodeRenewal(3, 3)
+	restarted.Renew(late, start)
+	require.Empty(t, restarted.Servers(), "a control instance that has restarted remembers it")
+	require.Len(t, restarted.Overruling(late), 1)
+}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -20,8 +20,9 @@
 	advertised *apiv1.BackendServer
 }
 
-// Announce handles a heartbeat of the backend server beside this node (twirp service Membership).
-func (n *Node) Announce(_ context.Context, request *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
+// Announce handles a heartbeat of the backend server beside this node (twirp service Membership). One that says that the
+// backend server leaves is acknowledged once another process has stored that.
+func (n *Node) Announce(ctx context.Context, request *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
 	if request.Server == nil || request.Server.Instance == "" {
 		return nil, errNoServer
 	}
@@ -31,6 +32,7 @@
 	request.Server.Node = n.options.Instance
 	request.Server.NodeControlAddr = n.options.ControlAddr
 	request.Server.GateAddr = n.options.GateAddr
+	request.Server.Leaving = leaves(request.Server.State)
 	if !n.acceptHeartbeat(request) {
 		n.options.Logger.Info().Str("backend_server", request.Server.Instance).Uint64("incarnation", request.Server.Incarnation).
 			Uint64("sequence", request.Sequence).Msg("late heartbeat passed over")
@@ -39,9 +41,19 @@
 	if n.storeAnnouncement(request.Server) {
 		n.renewWithNewRevision()
 	}
+	if request.Server.Leaving {
+		if err := n.awaitStored(ctx); err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+	}
 	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
 }
 
+// leaves reports whether a state that a backend server announces itself says that it stops.
+func leaves(state apiv1.ServerState) bool {
+	return state == apiv1.ServerState_SERVER_STATE_DRAINING || state == apiv1.ServerState_SERVER_STATE_GONE
+}
+
 // storeAnnouncement stores an announced record and reports whether the advertised record changed. The load is left out
 // of the record, because the responses of the backend server carry it.
 func (n *Node) storeAnnouncement(server *apiv1.BackendServer) bool {
@@ -56,7 +68,7 @@
 		server.ColdMs = before.ColdMs
 	}
 	if before != nil && before.Incarnation != server.Incarnation {
-		n.drainRequested = false
+		n.drain = drainOrder{}
 	}
 	n.announced = &announcement{server: server, expires: now.Add(member.LeaseTime), advertised: n.toAdvertise(server)}
 	return before == nil || !proto.Equal(before, n.announced.advertised)
@@ -78,7 +90,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	server := n.advertisedServer(time.Now())
-	if server == nil || n.drainRequested {
+	if server == nil || n.drain.drain {
 		return server
 	}
 	return n.announced.server
@@ -93,24 +105,35 @@
 }
 
 // toAdvertise returns the record to advertise for an announced one: a ready backend server is advertised as draining
-// while a drain is requested or this node is stopping. The caller must hold mu.
+// while an order to drain it holds or this node is stopping. The caller must hold mu.
 func (n *Node) toAdvertise(server *apiv1.BackendServer) *apiv1.BackendServer {
-	if !n.drainRequested && !n.stopping || server.State != apiv1.ServerState_SERVER_STATE_READY {
+	drains := (n.drain.drain || n.stopping) && server.State == apiv1.ServerState_SERVER_STATE_READY
+	if !drains && n.drain.number == 0 {
 		return server
 	}
-	draining := proto.Clone(server).(*apiv1.BackendServer)
-	draining.State = apiv1.ServerState_SERVER_STATE_DRAINING
-	return draining
+	advertised := proto.Clone(server).(*apiv1.BackendServer)
+	advertised.DrainOrder, advertised.DrainOrdered = n.drain.number, n.drain.drain
+	if drains {
+		advertised.State = apiv1.ServerState_SERVER_STATE_DRAINING
+	}
+	return advertised
 }
 
-// Drain marks the backend server as draining at the request of the platform, or with undo puts it back into service. A
-// new incarnation of the backend server is in service again.
-func (n *Node) Drain(undo bool) *apiv1.BackendServer {
+// Drain marks the backend server as draining at the order of an operator, or with undo puts it back into service. A new
+// incarnation of the backend server is in service again. It returns once another process has stored the order, so that a
+// restart of this node does not undo it; otherwise the error wraps ErrNotStored. Without a backend server there is nothing to
+// drain, and the result is nil.
+func (n *Node) Drain(ctx context.Context, undo bool) (*apiv1.BackendServer, error) {
+	if n.Announced() == nil {
+		return nil, nil
+	}
 	n.mu.Lock()
-	n.drainRequested = !undo
+	n.drain = n.drain.next(!undo, time.Now())
 	n.mu.Unlock()
-	n.readvertise()
-	return n.Announced()
+	if err := n.readvertiseAndStore(ctx); err != nil {
+		return nil, err
+	}
+	return n.Announced(), nil
 }
 
 // DrainForShutdown marks the backend server as draining because this node is about to stop.
--- /dev/null
+++ b/internal/node/departure.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// storeTimeout bounds the wait until another process knows what a node is about to acknowledge. A platform that gets no
+// acknowledgement within a second repeats its request.
+const storeTimeout = 800 * time.Millisecond
+
+// ErrNotStored is wrapped by the error for a change of a backend server's state that no other process has confirmed in time.
+// The node acts on the change, but must not acknowledge it: it would forget it in a restart.
+var ErrNotStored = errors.New("no other process has stored that the backend server drains")
+
+// unseenDeparture is a backend server beside this node that has announced that it stops, before any heartbeat since the start
+// of the node. The zero value stands for none.
+type unseenDeparture struct {
+	instance string
+	at       time.Time
+}
+
+// covers reports whether the departure is that of the given start of a backend server.
+func (u unseenDeparture) covers(server *apiv1.BackendServer) bool {
+	return u.instance != "" && u.instance == server.Instance && server.StartedUnixMs <= u.at.UnixMilli()
+}
+
+// Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of the
+// same incarnation are ignored. It returns once another process has stored that, so that a restart of this node does not undo
+// it; otherwise the error wraps ErrNotStored. An instance that is not the one of the last heartbeat has been replaced already.
+func (n *Node) Withdraw(ctx context.Context, instance string) error {
+	n.mu.Lock()
+	switch n.lastHeartbeat.instance {
+	case "":
+		n.unseen = unseenDeparture{instance, time.Now()}
+	case instance:
+		n.lastHeartbeat.leaving, n.lastHeartbeat.withdrawn = true, true
+	default:
+		n.mu.Unlock()
+		return nil
+	}
+	if n.announced != nil && n.announced.server.Instance == instance {
+		n.announced.server = leavingServer(n.announced.server)
+	}
+	n.mu.Unlock()
+	n.options.Logger.Info().Str("backend_server", instance).Msg("backend server withdrawn")
+	return n.readvertiseAndStore(ctx)
+}
+
+// leavingServer returns a copy of a record that says that the backend server leaves.
+func leavingServer(server *apiv1.BackendServer) *apiv1.BackendServer {
+	leaving := proto.Clone(server).(*apiv1.BackendServer)
+	leaving.Leaving = true
+	if leaving.State != apiv1.ServerState_SERVER_STATE_GONE {
+		leaving.State = apiv1.ServerState_SERVER_STATE_DRAINING
+	}
+	return leaving
+}
+
+// readvertiseAndStore updates the advertised record and waits until the home of the leases has stored it.
+func (n *Node) readvertiseAndStore(ctx context.Context) error {
+	n.readvertise()
+	return n.awaitStored(ctx)
+}
+
+// awaitStored waits until the home of the leases has stored the records of the current revision. The error wraps ErrNotStored.
+func (n *Node) awaitStored(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	n.mu.Lock()
+	revision := n.revision
+	n.mu.Unlock()
+	for {
+		n.mu.Lock()
+		stored, changed := n.storedRevision, n.storedChanged
+		n.mu.Unlock()
+		if stored >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			n.options.Logger.Warn().Uint64("revision", revision).Uint64("stored_revision", stored).Msg("drain not acknowledged, no other process has stored it")
+			return errors.Wrap(ErrNotStored, ctx.Err().Error())
+		}
+	}
+}
+
+// recordStored records that the home of the leases has stored the records of a revision.
+func (n *Node) recordStored(revision uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.storedRevision = max(n.storedRevision, revision)
+	close(n.storedChanged)
+	n.storedChanged = make(chan struct{})
+}
+
+// learnOverruling takes over what the home of the leases knows of backend servers beside this node, from before a restart of
+// the node. It reports whether that changed the record that this node announces.
+func (n *Node) learnOverruling(records []*apiv1.BackendServer) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	learned := false
+	for _, known := range records {
+		if n.lastHeartbeat.instance == "" && known.Leaving && known.Instance == n.unseen.instance {
+			n.lastHeartbeat = heartbeat{instance: known.Instance, incarnation: known.Incarnation, leaving: true, withdrawn: true}
+			continue
+		}
+		if !n.lastHeartbeat.isOf(known) || n.announced == nil {
+			continue
+		}
+		if known.Leaving && !n.lastHeartbeat.leaving {
+			n.lastHeartbeat.leaving = true
+			n.announced.server = leavingServer(n.announced.server)
+			learned = true
+		}
+		if known.DrainOrder > n.drain.number {
+			n.drain = drainOrder{known.DrainOrder, known.DrainOrdered}
+			learned = true
+		}
+		n.options.Logger.Info().Str("backend_server", known.Instance).Uint64("incarnation", known.Incarnation).Bool("leaving", known.Leaving).
+			Uint64("drain_order", known.DrainOrder).Bool("drain_ordered", known.DrainOrdered).Msg("learned what was acknowledged before the restart")
+	}
+	return learned
+}
--- /dev/null
+++ b/internal/node/departure_test.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
+	"samphireflow/internal/member"
+)
+
+// leaseHome is a control instance, as far as the leases of nodes go.
+type leaseHome struct {
+	apiv1.Membership
+	hub       *member.Hub
+	addr      string
+	failing   atomic.Bool
+	notStored atomic.Bool
+}
+
+func (h *leaseHome) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
+	if h.failing.Load() {
+		return nil, twirp.NewError(twirp.Unavailable, "unreachable")
+	}
+	response := &apiv1.RenewResponse{DrainNotStored: h.notStored.Load()}
+	h.hub.Renew(request, response, time.Now())
+	return response, nil
+}
+
+func startLeaseHome(t *testing.T) *leaseHome {
+	h := &leaseHome{hub: member.NewHub("home", 1)}
+	server := httptest.NewUnstartedServer(http.Handler(apiv1.NewMembershipServer(h)))
+	server.Config.Protocols = distribution.ServerProtocols()
+	server.Start()
+	t.Cleanup(server.Close)
+	h.addr = server.Listener.Addr().String()
+	return h
+}
+
+// startNode starts a node that renews its leases at the home, and returns the function that ends it without notice.
+func (h *leaseHome) startNode(t *testing.T) (*Node, func()) {
+	n := New(Options{
+		Instance: "n", FailureDomain: "north", ControlAddr: "127.0.0.1:1", Control: []string{h.addr}, Direct: true, Logger: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		_ = n.renewLoop(ctx)
+	}()
+	return n, func() {
+		h.failing.Store(true)
+		cancel()
+		<-killed
+		h.failing.Store(false)
+	}
+}
+
+// heartbeatOf returns a heartbeat of one start of the backend server beside the node.
+func heartbeatOf(sequence uint64, state apiv1.ServerState) *apiv1.AnnounceRequest {
+	return &apiv1.AnnounceRequest{Sequence: sequence, Server: &apiv1.BackendServer{
+		Instance: "s", Service: "rota", Addr: "127.0.0.1:2", Incarnation: 1000, StartedUnixMs: 1000, State: state,
+	}}
+}
+
+const (
+	ready    = apiv1.ServerState_SERVER_STATE_READY
+	draining = apiv1.ServerState_SERVER_STATE_DRAINING
+)
+
+// stateAtHome returns the state of the backend server that the other nodes see, or false if they see none.
+func (h *leaseHome) stateAtHome() (apiv1.ServerState, bool) {
+	for _, server := range h.hub.Members().Servers {
+		return server.State, true
+	}
+	return 0, false
+}
+
+// TestRestartedNodeKeepsAcknowledgedDrain guards against a backend server that gets calls again after it was acknowledged that
+// it drains, because its node was killed and took a late heartbeat for the newest.
+func TestRestartedNodeKeepsAcknowledgedDrain(t *testing.T) {
+	for name, drain := range map[string]func(*testing.T, *Node){
+		"withdrawn": func(t *testing.T, n *Node) {
+			require.NoError(t, n.Withdraw(t.Context(), "s"))
+		},
+		"own word": func(t *testing.T, n *Node) {
+			_, err := n.Announce(t.Context(), heartbeatOf(9, draining))
+			require.NoError(t, err)
+		},
+		"operator": func(t *testing.T, n *Node) {
+			_, err := n.Drain(t.Context(), false)
+			require.NoError(t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			home := startLeaseHome(t)
+			n, kill := home.startNode(t)
+			_, err := n.Announce(t.Context(), heartbeatOf(5, ready))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { state, ok := home.stateAtHome(); return ok && state == ready }, 5*time.Second, time.Millisecond)
+			drain(t, n)
+			state, _ := home.stateAtHome()
+			require.Equal(t, draining, state, "another process knows it before it is acknowledged")
+			kill()
+
+			n, kill = home.startNode(t)
+			defer kill()
+			_, err = n.Announce(t.Context(), heartbeatOf(8, ready))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return n.Announced().GetState() == draining }, 5*time.Second, time.Millisecond)
+			state, _ = home.stateAtHome()
+			require.Equal(t, draining, state)
+			require.Equal(t, draining, n.LocalServer().State, "the gate takes no new calls either")
+			if name == "operator" {
+				server, err := n.Drain(t.Context(), true)
+				require.NoError(t, err)
+				require.Equal(t, ready, server.State)
+				state, _ = home.stateAtHome()
+				require.Equal(t, ready, state, "the order can be undone after the restart")
+			}
+		})
+	}
+}
+
+// TestRestartedNodeTakesWithdrawalBeforeHeartbeats guards against a withdrawal that is acknowledged and not recorded, because
+// the node has had no heartbeat since its start.
+func TestRestartedNodeTakesWithdrawalBeforeHeartbeats(t *testing.T) {
+	home := startLeaseHome(t)
+	n, kill := home.startNode(t)
+	_, err := n.Announce(t.Context(), heartbeatOf(5, ready))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { _, ok := home.stateAtHome(); return ok }, 5*time.Second, time.Millisecond)
+	kill()
+	n, kill = home.startNode(t)
+	require.NoError(t, n.Withdraw(t.Context(), "s"))
+	state, _ := home.stateAtHome()
+	require.Equal(t, draining, state)
+	_, err = n.Announce(t.Context(), heartbeatOf(6, ready))
+	require.NoError(t, err)
+	require.Nil(t, n.Announced(), "the late heartbeat is passed over")
+	kill()
+
+	n, kill = home.startNode(t)
+	defer kill()
+	_, err = n.Announce(t.Context(), heartbeatOf(6, ready))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return n.Announced().GetState() == draining }, 5*time.Second, time.Millisecond)
+	next := heartbeatOf(1, ready)
+	next.Server.Incarnation, next.Server.StartedUnixMs = 2000, 2000
+	_, err = n.Announce(t.Context(), next)
+	require.NoError(t, err)
+	require.Equal(t, ready, n.Announced().State, "the next start is in service")
+}
+
+// TestDrainIsNotAcknowledgedFromMemoryAlone guards against acknowledgements that only the memory of the node keeps.
+func TestDrainIsNotAcknowledgedFromMemoryAlone(t *testing.T) {
+	home := startLeaseHome(t)
+	n, kill := home.startNode(t)
+	defer kill()
+	_, err := n.Announce(t.Context(), heartbeatOf(5, ready))
+	require.NoError(t, err)
+	home.notStored.Store(true)
+	require.ErrorIs(t, n.Withdraw(t.Context(), "s"), ErrNotStored)
+	require.Equal(t, draining, n.LocalServer().State, "no new calls are taken all the same")
+	home.notStored.Store(false)
+	require.NoError(t, n.Withdraw(t.Context(), "s"), "the repeated request is acknowledged")
+
+	home.failing.Store(true)
+	_, err = n.Drain(t.Context(), false)
+	require.ErrorIs(t, err, ErrNotStored)
+	home.failing.Store(false)
+}
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	apiv1 "samphireflow/api/v1"
 )
 
@@ -11,7 +9,9 @@
 	instance    string
 	incarnation uint64
 	sequence    uint64
-	// withdrawn is set once this incarnation of the backend server has announced that it stops.
+	// leaving is set once this incarnation of the backend server has announced that it stops. It does not come back.
+	leaving bool
+	// withdrawn is set once it has announced so without a heartbeat. No heartbeat follows then.
 	withdrawn bool
 }
 
@@ -31,7 +31,13 @@
 	return !h.withdrawn && (sequence == 0 || sequence > h.sequence)
 }
 
-// acceptHeartbeat records a heartbeat if it is newer than the last one, and reports whether it is.
+// isOf reports whether h is a heartbeat of the given start of a backend server.
+func (h *heartbeat) isOf(server *apiv1.BackendServer) bool {
+	return h.instance == server.Instance && h.incarnation == server.Incarnation
+}
+
+// acceptHeartbeat records a heartbeat if it is newer than the last one and does not take back that the backend server leaves.
+// It reports whether it did.
 func (n *Node) acceptHeartbeat(request *apiv1.AnnounceRequest) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -39,26 +45,10 @@
 	if !n.lastHeartbeat.supersededBy(server.Instance, server.Incarnation, request.Sequence) {
 		return false
 	}
-	n.lastHeartbeat = heartbeat{instance: server.Instance, incarnation: server.Incarnation, sequence: request.Sequence}
-	return true
-}
-
-// Withdraw marks the backend server beside this node as draining, because it announced that it stops. It reports whether
-// the instance is the one that sent the last heartbeat. Later heartbeats of the same incarnation are ignored.
-func (n *Node) Withdraw(instance string) bool {
-	n.mu.Lock()
-	known := n.lastHeartbeat.instance == instance
-	if known {
-		n.lastHeartbeat.withdrawn = true
-	}
-	if known && n.announced != nil && n.announced.server.Instance == instance {
-		draining := proto.Clone(n.announced.server).(*apiv1.BackendServer)
-		draining.State = apiv1.ServerState_SERVER_STATE_DRAINING
-		n.announced.server = draining
-	}
-	n.mu.Unlock()
-	if known {
-		n.readvertise()
+	next := heartbeat{instance: server.Instance, incarnation: server.Incarnation, sequence: request.Sequence, leaving: server.Leaving}
+	if n.lastHeartbeat.isOf(server) && n.lastHeartbeat.leaving && !next.leaving || n.unseen.covers(server) {
+		return false
 	}
-	return known
+	n.lastHeartbeat, n.unseen = next, unseenDeparture{}
+	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,17 +39,21 @@
 	// status is the state of the applied configuration for operators.
 	status atomic.Pointer[Status]
 
-	// mu guards announced, lastHeartbeat, revision, applied, drainRequested and stopping. announced is the backend server beside
-	// this node, and revision the newest revision of the records of this node and of that backend server.
+	// mu guards the fields down to stopping. announced is the backend server beside this node, and revision the newest revision
+	// of the records of this node and of that backend server.
 	mu            sync.Mutex
 	announced     *announcement
 	lastHeartbeat heartbeat
+	unseen        unseenDeparture
 	revision      uint64
-	applied       announceSchedule
-	// drainRequested is set while the platform wants the backend server to drain, stopping once this node is about to
-	// stop.
-	drainRequested bool
-	stopping       bool
+	// storedRevision is the newest revision whose records the home of the leases has stored. storedChanged is closed and
+	// replaced when it changes.
+	storedRevision uint64
+	storedChanged  chan struct{}
+	applied        announceSchedule
+	drain          drainOrder
+	// stopping is set once this node is about to stop.
+	stopping bool
 	// renewNow wakes the renewal loop before its interval has passed.
 	renewNow chan struct{}
 
@@ -82,13 +86,14 @@
 		options.Client = distribution.NewHTTPClient()
 	}
 	n := &Node{
-		options:     options,
-		incarnation: uint64(time.Now().UnixNano()),
-		outcomes:    outcome.NewAggregator(options.FailureDomain),
-		renewNow:    make(chan struct{}, 1),
-		applier:     applier{failureDomain: options.FailureDomain},
-		directory:   member.NewDirectory(),
-		registry:    routing.NewRegistry(),
+		options:       options,
+		incarnation:   uint64(time.Now().UnixNano()),
+		outcomes:      outcome.NewAggregator(options.FailureDomain),
+		renewNow:      make(chan struct{}, 1),
+		storedChanged: make(chan struct{}),
+		applier:       applier{failureDomain: options.FailureDomain},
+		directory:     member.NewDirectory(),
+		registry:      routing.NewRegistry(),
 
 		membersBudget: rate.NewLimiter(membersRate, membersBurst),
 	}
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -91,8 +91,11 @@
 		n.options.Logger.Debug().Err(err).Str("upstream", to.Addr).Msg("lease renewal failed")
 		return false
 	}
+	learned := n.learnOverruling(response.Overruling)
 	switch {
 	case leaving:
+	case learned:
+		n.readvertise()
 	case response.RefutedRevision > 0:
 		n.raiseRevisionAbove(response.RefutedRevision)
 		n.wakeRenewal()
@@ -100,6 +103,9 @@
 		n.wakeRenewal()
 	default:
 		n.lastRenewal = renewal{receiver: to, revision: revision}
+		if !response.DrainNotStored {
+			n.recordStored(revision)
+		}
 	}
 	return true
 }
@@ -147,6 +153,9 @@
 			Revision:          n.revision,
 		},
 	}
+	if n.unseen.instance != "" {
+		request.LeavingServers = []string{n.unseen.instance}
+	}
 	if version, refusal := n.relay.Refused(); request.Node.RefusedVersion == 0 {
 		request.Node.RefusedVersion, request.Node.Refusal = version, refusal
 	}
--- a/internal/proxy/gate_test.go
+++ b/internal/proxy/gate_test.go
@@ -68,9 +68,9 @@
 }
 
 // Drain drains the backend server.
-func (g *testGate) Drain(bool) *apiv1.BackendServer {
+func (g *testGate) Drain(context.Context, bool) (*apiv1.BackendServer, error) {
 	g.state.Store(int32(apiv1.ServerState_SERVER_STATE_DRAINING))
-	return g.Announced()
+	return g.Announced(), nil
 }
 
 // gauge counts what is in use at a time, and keeps the peak.
@@ -196,7 +196,7 @@
 		require.Equal(t, OutcomeDone, p.call(t, "GET", "/rota/1", "").outcome)
 	}
 	require.Positive(t, drained.requests.Load())
-	gateA.Drain(false)
+	_, _ = gateA.Drain(t.Context(), false)
 	offset.Store(int64(directIdleTimeout + time.Millisecond))
 	before := drained.requests.Load()
 	for range 40 {
--- a/internal/proxy/peer_service.go
+++ b/internal/proxy/peer_service.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/suspect"
 )
@@ -16,8 +18,9 @@
 type LocalServer interface {
 	// Announced returns the current announcement, nil if there is none.
 	Announced() *apiv1.BackendServer
-	// Drain drains the backend server, or with undo puts it back into service, and returns its announcement.
-	Drain(undo bool) *apiv1.BackendServer
+	// Drain drains the backend server, or with undo puts it back into service, and returns its announcement once a restart
+	// of this node does not undo that.
+	Drain(ctx context.Context, undo bool) (*apiv1.BackendServer, error)
 }
 
 // PeerService implements the twirp service Traffic for other nodes and for the platform.
@@ -52,7 +55,10 @@
 }
 
 // Drain drains the local backend server or undoes its draining.
-func (s *PeerService) Drain(_ context.Context, request *apiv1.DrainRequest) (*apiv1.DrainResponse, error) {
-	info := s.local.Drain(request.Undo)
+func (s *PeerService) Drain(ctx context.Context, request *apiv1.DrainRequest) (*apiv1.DrainResponse, error) {
+	info, err := s.local.Drain(ctx, request.Undo)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
 	return &apiv1.DrainResponse{Instance: info.GetInstance(), InFlight: info.GetInFlight()}, nil
 }
--- a/internal/wal/folder_files.go
+++ b/internal/wal/folder_files.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -52,6 +55,24 @@
 	return files, nil
 }
 
+// SaveFile atomically and durably writes a small file beside the log. Only the process that holds the lock of the folder may
+// call it.
+func SaveFile(fs FS, dir, name string, payload []byte) error {
+	return errors.Wrapf(writeFrameFile(fs, dir, name, payload), "wal: write %s", name)
+}
+
+// LoadFile returns the content of a file that SaveFile wrote, nil if there is none. Damage is reported as a CorruptError.
+func LoadFile(fs FS, dir, name string) ([]byte, error) {
+	names, err := fs.ReadDir(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "wal: list the data folder")
+	}
+	if !slices.Contains(names, name) {
+		return nil, nil
+	}
+	return readFrameFile(fs, dir, name)
+}
+
 // writeFrameFile atomically and durably writes a file that consists of one frame: it writes and syncs a temporary file
 // and renames it.
 func writeFrameFile(fs FS, dir, name string, payload []byte) error {
