Forward long responses whole

Cause: the context of a call ended when the dispatch returned. A response that is too long to buffer is returned with its rest unread, and the end of the context closes the connection that the rest comes from. The gate kept its context for that reason; the ingress did not. Ruled out: the gate and the hop between nodes, which the test covers too.

Change: one function for both, which ends the context when the rest is closed.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -273,11 +273,7 @@
 		return g.exchangeFailure(err)
 	}
 	g.closeBreaker()
-	if response.Rest == nil {
-		cancel()
-	} else {
-		response.Rest = &cancelOnClose{ReadCloser: response.Rest, cancel: cancel}
-	}
+	calls.CancelWhenRead(response, cancel)
 	return g.classify(response)
 }
 
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -60,8 +60,17 @@
 	attempts attemptList
 }
 
-// run makes attempts until a backend server has responded or the call is refused or fails.
+// run makes attempts until a backend server has responded or the call is refused or fails. The exchange with the backend
+// server lasts until the deadline, or until the response has been read.
 func (d *dispatch) run(ctx context.Context) (*exchange.Response, *refusal) {
+	ctx, cancel := context.WithDeadline(ctx, d.call.Deadline)
+	response, refused := d.makeAttempts(ctx)
+	calls.CancelWhenRead(response, cancel)
+	return response, refused
+}
+
+// makeAttempts makes attempts until a backend server has responded or the call is refused or fails.
+func (d *dispatch) makeAttempts(ctx context.Context) (*exchange.Response, *refusal) {
 	service := d.table.Service(d.service)
 	if service == nil {
 		return nil, notRun("service "+d.service+" is not configured", minRetryAfter)
@@ -74,8 +83,6 @@
 	d.tried = map[string]bool{}
 	d.late = d.ingress.overloads.overloaded(d.service, d.arrived)
 	d.ingress.retries.recordFirstSend(d.service, d.ingress.options.Gate.RepeatedShare(), d.table.ServerCount, d.arrived)
-	ctx, cancel := context.WithDeadline(ctx, d.call.Deadline)
-	defer cancel()
 	for {
 		server := d.nextServer(servers)
 		if server == nil {
