Hold the slot of a call until its response is complete

Operators' report: a faulty backend server sent bytes without end; the machine that had called it kept them and ran out of memory.

Whether it happens here: one response never was kept without bound (test of package exchange). Their number was, once long responses are forwarded whole: the gate gave the slot back when the first 256 KiB were buffered, so a faulty backend server got call after call, each holding its buffers until its caller left. In the test 20 calls of 20 were streaming from 2 slots. A header of 256 KiB that consists of short fields took 3.8 MB decoded (measured).

Change: the slot is released when the rest of the response is closed, so at most as many responses are open as the backend server has slots. The header of a response is limited to 64 KiB.

TestEndlessResponsesKeepTheirSlots and TestHeaderOfManyFieldsIsRefused failed before.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 256 << 10
+	// maxHeaderBytes bounds the header of a response. A decoded header takes up to 15 times as much memory.
+	maxHeaderBytes = 64 << 10
 	// readBufferSize is the size of a connection's read buffer. Most responses are shorter.
 	readBufferSize = 4 << 10
 	// maxSkippedBody bounds the body, in bytes, of a late response that is skipped. Above it a new connection is cheaper.
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -100,3 +101,17 @@
 		})
 	}
 }
+
+// TestHeaderOfManyFieldsIsRefused guards against headers that take much more memory decoded than sent: each of their fields is
+// a few bytes long.
+func TestHeaderOfManyFieldsIsRefused(t *testing.T) {
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\nId: 1\r\n")
+	for i := 0; head.Len() < 128<<10; i++ {
+		head.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	addr, _ := startEndlessServer(t, head.String()+"Content-Length: 0\r\n\r\n", "x")
+	_, err := NewClient(time.Second).Do(testContext(t), addr, newRequest("1"))
+	require.ErrorIs(t, err, ErrBroken)
+	require.ErrorContains(t, err, errHeaderTooLong.Error())
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -108,7 +108,8 @@
 }
 
 // Pass sends a call to the backend server with the given instance name as soon as a slot is free. The call waits for a
-// slot only while its response is expected by finishBy. If the context ends, the call is aborted.
+// slot only while its response is expected by finishBy, and keeps it until the response is complete or closed. If the context
+// ends, the call is aborted.
 func (g *Gate) Pass(ctx context.Context, c *calls.Call, instance string, finishBy time.Time) *calls.Result {
 	result := g.pass(ctx, c, instance, finishBy)
 	load := g.Load()
@@ -138,11 +139,17 @@
 	result := g.send(ctx, c, server)
 	result.Latency = g.options.Now().Sub(started)
 	g.recordOutcome(c, server, result)
-	latency := result.Latency
-	if result.Outcome != calls.Answered {
-		latency = 0
+	switch {
+	case result.Outcome != calls.Answered:
+		g.release(queue, c.Route, 0)
+	case result.Response.Rest != nil:
+		// The backend server is still sending, so the call keeps its slot.
+		result.Response.Rest = &slotHolder{ReadCloser: result.Response.Rest, release: func() {
+			g.release(queue, c.Route, g.options.Now().Sub(started))
+		}}
+	default:
+		g.release(queue, c.Route, result.Latency)
 	}
-	g.release(queue, c.Route, latency)
 	return result
 }
 
