Bound the memory for long responses in the proxy

Eight endless bodies fill the 64 MB that a node may use.

Change: bodies beyond their first 64 KiB share 16 MiB in each of the two. Memory is reserved as bytes arrive and given back when the response is written; a response that finds none ends as unknown (502).

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -31,6 +31,8 @@
 	depth    int
 	deadline time.Time
 	body     []byte
+	// memory is the reservation for the body of the newest response.
+	memory *reservation
 	// pendingReports waits for the reports of broken attempts to other nodes. A failed call is answered after them, so
 	// that its caller cannot send the request again to a node that does not know yet that the request is suspect.
 	pendingReports sync.WaitGroup
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -65,6 +65,7 @@
 		refused.write(w)
 		return
 	}
+	defer func() { c.memory.release() }()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	response, refused := g.forward(ctx, c, local)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -90,7 +90,10 @@
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	response, refused := p.handle(r)
+	c, response, refused := p.handle(r)
+	if c != nil {
+		defer func() { c.memory.release() }()
+	}
 	if refused != nil {
 		refused.write(w)
 		return
@@ -109,27 +112,30 @@
 	p.gateTransport.CloseIdleConnections()
 }
 
-func (p *Proxy) handle(r *http.Request) (*bufferedResponse, *refusal) {
+// handle returns the call, nil for an invalid request, and its response or refusal.
+func (p *Proxy) handle(r *http.Request) (*call, *bufferedResponse, *refusal) {
 	table := p.options.Table()
 	if table == nil {
-		return nil, notRunRefusal(http.StatusServiceUnavailable, "the node has no configuration yet")
+		return nil, nil, notRunRefusal(http.StatusServiceUnavailable, "the node has no configuration yet")
 	}
 	now := p.now()
 	c, refused := readCall(r, table, now)
 	if refused != nil {
-		return nil, refused
+		return nil, nil, refused
 	}
 	c.service = withFallback(table, c.service)
 	c.state = p.states.get(c.route.Config.Name)
 	if refused := p.admit(c, now); refused != nil {
-		return nil, refused
+		return c, nil, refused
 	}
 	if c.key != "" && !c.route.Config.Idempotent {
-		return p.serveAtMostOnce(c)
+		response, refused := p.serveAtMostOnce(c)
+		return c, response, refused
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	return p.serve(ctx, c)
+	response, refused := p.serve(ctx, c)
+	return c, response, refused
 }
 
 // admit refuses a call that cannot meet its deadline, exceeds the rate limit of its resource, or is blocked, before any
--- a/internal/proxy/sender.go
+++ b/internal/proxy/sender.go
@@ -56,13 +56,16 @@
 	// callIDPrefix and sequence form the unique value of HeaderCall.
 	callIDPrefix string
 	sequence     atomic.Uint64
+	// memory holds the bodies of the long responses that were read and not forwarded yet.
+	memory responseMemory
 }
 
 func newSender(instance string) *sender {
 	return &sender{callIDPrefix: instance + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
 }
 
-// roundTrip sends one request and reads the whole response. An error that matches errNotSent proves that no byte of the
+// roundTrip sends one request and reads the whole response. The body is held in the call's reservation, which the caller
+// releases. An error that matches errNotSent proves that no byte of the
 // request was sent.
 func (s *sender) roundTrip(ctx context.Context, c *call, to *destination) (*bufferedResponse, error) {
 	tracker := newSendTracker()
@@ -74,15 +77,18 @@
 		}
 		return nil, errors.Wrap(err, "round trip")
 	}
-	got, err := readResponse(request, response)
+	c.memory.release()
+	c.memory = &reservation{memory: &s.memory}
+	got, err := readResponse(request, response, c.memory)
 	if err == nil {
 		got.latency = time.Since(tracker.connectedAt)
 	}
 	return got, err
 }
 
-// readResponse reads a whole response. It returns an error if the response may be truncated or belong to another request.
-func readResponse(request *http.Request, response *http.Response) (*bufferedResponse, error) {
+// readResponse reads a whole response into reserved memory. It returns an error if the response may be truncated or belong to
+// another request.
+func readResponse(request *http.Request, response *http.Response, memory *reservation) (*bufferedResponse, error) {
 	defer func() { _ = response.Body.Close() }()
 	if id := response.Header.Get(HeaderCall); id != "" && id != request.Header.Get(HeaderCall) {
 		return nil, errors.New("response belongs to another request")
@@ -93,13 +99,10 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, errUnknownLength
 	}
-	body, err := readBounded(response.Body, response.ContentLength, maxResponseBytes)
+	body, err := memory.readBody(response.Body, response.ContentLength, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read response")
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.New("response is too long")
-	}
 	if err := expectEnd(response); err != nil {
 		return nil, err
 	}
