Refuse calls late in a planned stop that may end after the process

Operators' report: in a planned stop of one node, in calm, requests that came late in the grace period were passed on and cut without an answer at its end.

It happens here where the grace period is longer than 6 s: a stopping node took calls for half of it, whatever their time limit. With 10 s, a booking that came after 4 s and worked for 7 s ran and its caller's connection was closed. The same stood at the gate for calls of nodes that have not heard of the stop, and for requests pipelined behind a long one, at any grace period.

Change: for 3 s, in which callers go elsewhere, all calls are taken; then only those whose deadline passes before the calls in flight must have ended. The others are refused at once with the promise that they have not run.

--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -30,6 +30,9 @@
 	acceptFraction = 0.5
 	// completeFraction is the fraction of the shutdown timeout by which calls in flight must have completed.
 	completeFraction = 0.92
+	// moveTime is the time in which the callers of a stopping node go to other nodes: readiness is checked once a second, and
+	// the second failed check counts. Until then the node takes all calls, afterwards those that end before it does.
+	moveTime = 3 * time.Second
 )
 
 // gatedTraffic handles the calls of a node that has a gate: its ingress receives the calls of callers, its gate those for
@@ -39,6 +42,7 @@
 	ingress  *ingress.Ingress
 	suspects *suspect.Tracker
 	service  *proxy.PeerService
+	stop     *calls.StopAdmission
 }
 
 func newGatedTraffic(s *settings.Settings, headers calls.Headers, n *node.Node, registry prometheus.Registerer, logger zerolog.Logger) *gatedTraffic {
@@ -48,8 +52,12 @@
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
+	stop := &calls.StopAdmission{}
 	g := &gatedTraffic{
-		gate:     gate.New(gate.Options{LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Logger: logger, Now: time.Now}),
+		stop: stop,
+		gate: gate.New(gate.Options{
+			LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
 	g.service = proxy.NewPeerService(n, g.suspects)
@@ -62,6 +70,7 @@
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
 		Suspects:      g.suspects,
+		Stop:          stop,
 		Metrics:       ingress.NewMetrics(registry),
 		Logger:        logger,
 		Now:           time.Now,
@@ -121,14 +130,17 @@
 	began := time.Now()
 	d.logger.Info().Dur("stop_time_ms", shutdownTimeout).Msg("stopping: not ready any more")
 	d.draining.Store(true)
+	acceptTime := time.Duration(acceptFraction * float64(shutdownTimeout))
+	completeBy := began.Add(time.Duration(completeFraction * float64(shutdownTimeout)))
+	d.gatedTraffic.stop.Begin(began.Add(min(moveTime, acceptTime)), completeBy)
 	d.node.DrainForShutdown()
-	timer := time.NewTimer(time.Duration(acceptFraction * float64(shutdownTimeout)))
+	timer := time.NewTimer(acceptTime)
 	defer timer.Stop()
 	select {
 	case <-groupCtx.Done():
 	case <-timer.C:
 	}
-	ending, cancel := context.WithDeadline(context.WithoutCancel(groupCtx), began.Add(time.Duration(completeFraction*float64(shutdownTimeout))))
+	ending, cancel := context.WithDeadline(context.WithoutCancel(groupCtx), completeBy)
 	defer cancel()
 	for _, s := range []*listeningServer{callerListener, gateListener} {
 		if err := s.stop(ending); err != nil {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -37,8 +37,10 @@
 	Headers     calls.Headers
 	// Recorder counts the outcomes of the calls that were sent to the backend server.
 	Recorder Recorder
-	Logger   zerolog.Logger
-	Now      func() time.Time
+	// Stop decides which calls of other nodes are taken during a planned stop of this node; nil takes all.
+	Stop   *calls.StopAdmission
+	Logger zerolog.Logger
+	Now    func() time.Time
 }
 
 // Recorder counts outcomes by service, version and route; *outcome.Aggregator implements it. A broken call is one that
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -117,3 +118,22 @@
 		})
 	}
 }
+
+// TestStoppingGateRefusesCallsThatEndAfterIt covers the calls of nodes that have not learned yet that this one stops.
+func TestStoppingGateRefusesCallsThatEndAfterIt(t *testing.T) {
+	clock := time.Now()
+	g, _ := newTestGate("127.0.0.1:1", &clock)
+	g.options.Stop = &calls.StopAdmission{}
+	g.options.Stop.Begin(clock, clock.Add(5*time.Second))
+	pass := func(deadline time.Duration) string {
+		request := httptest.NewRequest(http.MethodGet, "/", nil)
+		calls.HopMetadata{Server: "a", Route: "lookup", Objective: deadline, Deadline: deadline, FinishBy: deadline}.Write(request.Header)
+		recorder := httptest.NewRecorder()
+		g.ServeHTTP(recorder, request)
+		return recorder.Header().Get(calls.HopResultHeader)
+	}
+	late := pass(6 * time.Second)
+	require.Contains(t, late, string(calls.NotRun))
+	require.Contains(t, late, string(calls.ReasonDraining), "another backend server is tried")
+	require.Contains(t, pass(4*time.Second), string(calls.ReasonUnreachable), "what ends in time is passed on")
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -24,6 +24,10 @@
 		WriteResult(w, r.Header.Get(g.options.Headers.RequestID), g.options.Headers, refusal(calls.ReasonMisdirected, err.Error()))
 		return
 	}
+	if stop := g.options.Stop; stop != nil && !stop.Admits(g.options.Now(), f.call.Deadline) {
+		WriteResult(w, f.call.ID, g.options.Headers, refusal(calls.ReasonDraining, "this node stops before the call must end"))
+		return
+	}
 	result := g.Pass(r.Context(), f.call, f.instance, f.finishBy)
 	WriteResult(w, f.call.ID, g.options.Headers, result)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,6 +45,10 @@
 		i.refuse(w, r, &dispatch{table: table, call: &calls.Call{ID: id, Route: route.Config.Name}}, refused)
 		return
 	}
+	if stop := i.options.Stop; stop != nil && !stop.Admits(arrived, c.Deadline) {
+		i.refuse(w, r, &dispatch{table: table, call: c, service: route.Config.Service}, notRun("this node stops before the call must end", minRetryAfter))
+		return
+	}
 	d := &dispatch{ingress: i, table: table, route: route, call: c, arrived: arrived, service: pickService(route, i.options.Random)}
 	response, refused := d.run(r.Context())
 	i.options.Metrics.observe(d, refused, i.options.Now().Sub(arrived))
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -39,9 +39,11 @@
 	Retries  RetryLimits
 	Headers  calls.Headers
 	Suspects Suspects
-	Metrics  *Metrics
-	Logger   zerolog.Logger
-	Now      func() time.Time
+	// Stop decides which calls are taken during a planned stop of the node; nil takes all.
+	Stop    *calls.StopAdmission
+	Metrics *Metrics
+	Logger  zerolog.Logger
+	Now     func() time.Time
 	// Random returns a uniformly distributed number from 0 to 1.
 	Random func() float64
 }
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -43,10 +43,12 @@
 	endedOnce sync.Once
 	seeds     []string
 	client    *http.Client
+	// graceS is the time from SIGTERM to SIGKILL in seconds that the settings state.
+	graceS int
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), ended: make(chan struct{}), client: &http.Client{Timeout: 5 * time.Second}}
+	d := &deployment{t: t, dir: t.TempDir(), ended: make(chan struct{}), client: &http.Client{Timeout: 5 * time.Second}, graceS: 6}
 	d.binary = filepath.Join(d.dir, "samphireflowd")
 	build := exec.Command("go", "build", "-o", d.binary, "samphireflow/cmd/samphireflowd")
 	output, err := build.CombinedOutput()
@@ -89,9 +91,9 @@
 Ready = "%s"
 Control = "%s"
 [Terms.Bounds]
-GraceS = 6
+GraceS = %d
 ConfigPropagationS = 2
-`, i, ipOf(i), i%2, local, 20000+i, 20015+i, strings.Join(d.seeds, `","`), d.addr(i, 0), d.addr(i, 1), d.addr(i, 2), d.addr(i, 3))
+`, i, ipOf(i), i%2, local, 20000+i, 20015+i, strings.Join(d.seeds, `","`), d.addr(i, 0), d.addr(i, 1), d.addr(i, 2), d.addr(i, 3), d.graceS)
 	path := filepath.Join(d.dir, fmt.Sprintf("instance-%d.toml", i))
 	require.NoError(d.t, os.WriteFile(path, []byte(settings), 0o600))
 	logs, err := os.Create(filepath.Join(d.dir, fmt.Sprintf("instance-%d.log", i)))
