Refuse announcements that describe no backend server

Operators' report: another writer left one odd entry among those of the backends; the machines that read the list ended or stopped following it.

Whether it happens here: no process ended in any of the cases tried. But a node took an entry of an instance whose name is no text, and could not encode its renewals any more, so that it lost its own leases with that of the sound backend server; an entry with a start or a sequence number far in the future made every later heartbeat of the sound one late; one with a port out of range or with billions of slots was handed to all nodes and displaced the sound one.

Change: one check, at the node that takes announcements (both interfaces) and at the readers of the list, which pass over such a record, log it and go on.

--- a/internal/member/directory.go
+++ b/internal/member/directory.go
@@ -25,12 +25,19 @@
 	return d.source, d.seq
 }
 
-// Apply applies an update; a full update replaces all entries.
-func (d *Directory) Apply(update *apiv1.MembersUpdate) {
+// Apply applies an update; a full update replaces all entries. It passes over records that fail CheckServer and returns the
+// reasons, so that one of them does not keep out the others.
+func (d *Directory) Apply(update *apiv1.MembersUpdate) []error {
 	if update.Full {
 		d.servers = map[string]*apiv1.BackendServer{}
 	}
+	var invalid []error
 	for _, server := range update.Servers {
+		if err := CheckServer(server); err != nil {
+			invalid = append(invalid, err)
+			delete(d.servers, server.GetInstance())
+			continue
+		}
 		d.servers[server.Instance] = server
 	}
 	for _, instance := range update.Removed {
@@ -38,6 +45,7 @@
 	}
 	d.source = update.Source
 	d.seq = update.Seq
+	return invalid
 }
 
 // Servers lists the backend servers in order of instance name.
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -268,3 +268,19 @@
 	require.Empty(t, restarted.Servers(), "a control instance that has restarted remembers it")
 	require.Len(t, restarted.Overruling(late), 1)
 }
+
+// TestOddRecordsKeepOutNoOthers guards against a reader that stops following the list because of one record in it.
+func TestOddRecordsKeepOutNoOthers(t *testing.T) {
+	good := &apiv1.BackendServer{Instance: "a", Service: "rota", Addr: "10.0.0.1:80", State: apiv1.ServerState_SERVER_STATE_READY}
+	odd := []*apiv1.BackendServer{{}, {Instance: "b", Addr: "10.0.0.1:70000"}, {Instance: "c", Addr: "10.0.0.1:80", Slots: 1 << 31}}
+	directory := NewDirectory()
+	invalid := directory.Apply(&apiv1.MembersUpdate{Seq: 7, Full: true, Servers: append(odd, good)})
+	require.Len(t, invalid, len(odd))
+	require.Equal(t, []*apiv1.BackendServer{good}, directory.Servers())
+	_, seq := directory.Position()
+	require.EqualValues(t, 7, seq, "the reader goes on from the newest change")
+	broken := proto.Clone(good).(*apiv1.BackendServer)
+	broken.Addr = "nowhere"
+	require.Len(t, directory.Apply(&apiv1.MembersUpdate{Seq: 8, Servers: []*apiv1.BackendServer{broken}}), 1)
+	require.Empty(t, directory.Servers(), "an instance whose newest record is odd is not used")
+}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
@@ -29,6 +30,10 @@
 	if own := n.options.Service; own != "" && request.Server.Service != own {
 		return nil, twirp.NewError(twirp.InvalidArgument, "service "+request.Server.Service+" is not the one beside this node")
 	}
+	if err := checkAnnouncement(request); err != nil {
+		n.options.Logger.Warn().Err(err).Msg("announcement refused")
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
 	request.Server.Node = n.options.Instance
 	request.Server.NodeControlAddr = n.options.ControlAddr
 	request.Server.GateAddr = n.options.GateAddr
@@ -49,6 +54,20 @@
 	return &apiv1.AnnounceResponse{LeaseMs: uint32(member.LeaseTime.Milliseconds())}, nil
 }
 
+// maxSequence is the highest accepted sequence number. A higher one could leave no number for the heartbeats that follow.
+const maxSequence = 1 << 40
+
+// checkAnnouncement refuses what no backend server announces; see member.CheckServer and member.CheckStart.
+func checkAnnouncement(request *apiv1.AnnounceRequest) error {
+	if request.Sequence > maxSequence {
+		return errors.Wrap(member.ErrInvalidServer, "sequence number")
+	}
+	if err := member.CheckServer(request.Server); err != nil {
+		return err
+	}
+	return member.CheckStart(request.Server, time.Now())
+}
+
 // leaves reports whether a state that a backend server announces itself says that it stops.
 func leaves(state apiv1.ServerState) bool {
 	return state == apiv1.ServerState_SERVER_STATE_DRAINING || state == apiv1.ServerState_SERVER_STATE_GONE
--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/member"
 )
 
 // storeTimeout bounds the wait until another process knows what a node is about to acknowledge. A platform that gets no
@@ -32,8 +33,11 @@
 
 // Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of the
 // same incarnation are ignored. It returns once another process has stored that, so that a restart of this node does not undo
-// it; otherwise the error wraps ErrNotStored. An instance that is not the one of the last heartbeat has been replaced already.
+// it; otherwise the error wraps ErrNotStored, or member.ErrInvalidServer for an impossible name. An instance that is not the one of the last heartbeat has been replaced already.
 func (n *Node) Withdraw(ctx context.Context, instance string) error {
+	if err := member.CheckName(instance); err != nil {
+		return err
+	}
 	n.mu.Lock()
 	switch n.lastHeartbeat.instance {
 	case "":
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -313,7 +313,9 @@
 	if err != nil {
 		return false, err
 	}
-	n.directory.Apply(update)
+	for _, err := range n.directory.Apply(update) {
+		n.options.Logger.Warn().Err(err).Msg("record of a backend server passed over")
+	}
 	n.knowsMembers.Store(true)
 	now := time.Now()
 	delay := n.membersBudget.ReserveN(now, min(len(data), membersBurst)).DelayFrom(now)
