Let a starting node learn which requests crash backend servers

Cause: what a node knows of such requests is in its memory, and was sent to the others once. Ruled out: the others, which refused the request themselves.

Change: half a second after its start a node asks three others, again until one has answered, and takes over their lists with the age of each entry.

--- a/api/v1/traffic.twirp.go
+++ b/api/v1/traffic.twirp.go
@@ -34,6 +34,9 @@
 	// Suspect spreads what is known about a request that was in flight when a backend server died.
 	Suspect(context.Context, *SuspectRequest) (*SuspectResponse, error)
 
+	// Suspects lists what the node knows about such requests. A node that starts asks others for it.
+	Suspects(context.Context, *SuspectsRequest) (*SuspectsResponse, error)
+
 	// Drain takes the backend server beside the node out of service: no new calls from any node, calls in flight end.
 	Drain(context.Context, *DrainRequest) (*DrainResponse, error)
 }
@@ -44,7 +47,7 @@
 
 type trafficProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,9 +75,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "samphireflow.v1", "Traffic")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "Probe",
 		serviceURL + "Suspect",
+		serviceURL + "Suspects",
 		serviceURL + "Drain",
 	}
 
@@ -178,6 +182,52 @@
 	return out, nil
 }
 
+func (c *trafficProtobufClient) Suspects(ctx context.Context, in *SuspectsRequest) (*SuspectsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "samphireflow.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Traffic")
+	ctx = ctxsetters.WithMethodName(ctx, "Suspects")
+	caller := c.callSuspects
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SuspectsRequest) (*SuspectsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SuspectsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SuspectsRequest) when calling interceptor")
+					}
+					return c.callSuspects(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SuspectsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SuspectsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *trafficProtobufClient) callSuspects(ctx context.Context, in *SuspectsRequest) (*SuspectsResponse, error) {
+	out := new(SuspectsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *trafficProtobufClient) Drain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "samphireflow.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Traffic")
@@ -209,7 +259,7 @@
 
 func (c *trafficProtobufClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -230,7 +280,7 @@
 
 type trafficJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -258,9 +308,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "samphireflow.v1", "Traffic")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "Probe",
 		serviceURL + "Suspect",
+		serviceURL + "Suspects",
 		serviceURL + "Drain",
 	}
 
@@ -364,6 +415,52 @@
 	return out, nil
 }
 
+func (c *trafficJSONClient) Suspects(ctx context.Context, in *SuspectsRequest) (*SuspectsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "samphireflow.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Traffic")
+	ctx = ctxsetters.WithMethodName(ctx, "Suspects")
+	caller := c.callSuspects
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SuspectsRequest) (*SuspectsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SuspectsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SuspectsRequest) when calling interceptor")
+					}
+					return c.callSuspects(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SuspectsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SuspectsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *trafficJSONClient) callSuspects(ctx context.Context, in *SuspectsRequest) (*SuspectsResponse, error) {
+	out := new(SuspectsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *trafficJSONClient) Drain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "samphireflow.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Traffic")
@@ -395,7 +492,7 @@
 
 func (c *trafficJSONClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -513,6 +610,9 @@
 	case "Suspect":
 		s.serveSuspect(ctx, resp, req)
 		return
+	case "Suspects":
+		s.serveSuspects(ctx, resp, req)
+		return
 	case "Drain":
 		s.serveDrain(ctx, resp, req)
 		return
@@ -883,6 +983,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *trafficServer) serveSuspects(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSuspectsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSuspectsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *trafficServer) serveSuspectsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Suspects")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SuspectsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Traffic.Suspects
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SuspectsRequest) (*SuspectsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SuspectsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SuspectsRequest) when calling interceptor")
+					}
+					return s.Traffic.Suspects(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SuspectsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SuspectsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SuspectsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SuspectsResponse and nil error while calling Suspects. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *trafficServer) serveSuspectsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Suspects")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SuspectsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Traffic.Suspects
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SuspectsRequest) (*SuspectsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SuspectsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SuspectsRequest) when calling interceptor")
+					}
+					return s.Traffic.Suspects(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SuspectsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SuspectsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SuspectsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SuspectsResponse and nil error while calling Suspects. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *trafficServer) serveDrain(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1079,28 +1359,34 @@
 }
 
 var twirpFileDescriptor7 = []byte{
-	// 355 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x52, 0xc1, 0x4e, 0xe3, 0x30,
-	0x14, 0x54, 0x76, 0x9b, 0x6d, 0xfb, 0x76, 0xbb, 0x15, 0xa6, 0x87, 0x90, 0x0a, 0x88, 0x02, 0x87,
-	0x4a, 0x48, 0xa9, 0x0a, 0x47, 0x6e, 0x08, 0x55, 0x1c, 0x38, 0xa0, 0x94, 0x13, 0x17, 0xe4, 0xa6,
-	0x4e, 0xfb, 0xa4, 0x60, 0x1b, 0xdb, 0x0d, 0x3f, 0xc4, 0x1f, 0xf2, 0x03, 0xa8, 0x71, 0x52, 0xa5,
-	0x44, 0xed, 0x2d, 0x63, 0x4f, 0xde, 0xcc, 0xbc, 0x31, 0x0c, 0xa8, 0xc4, 0x71, 0x3e, 0x19, 0x1b,
-	0x45, 0xd3, 0x14, 0x93, 0x48, 0x2a, 0x61, 0x04, 0xe9, 0x6b, 0xfa, 0x26, 0x57, 0xa8, 0x58, 0x9a,
-	0x89, 0x8f, 0x28, 0x9f, 0x84, 0x31, 0x90, 0x27, 0x25, 0xe6, 0x6c, 0xc6, 0x54, 0xce, 0x54, 0xcc,
-	0xde, 0xd7, 0x4c, 0x1b, 0xe2, 0x43, 0x07, 0xb9, 0x36, 0x94, 0x27, 0xcc, 0x73, 0x02, 0x67, 0xd4,
-	0x8d, 0xb7, 0x98, 0x04, 0xf0, 0x17, 0x79, 0x42, 0x15, 0xa7, 0x06, 0x05, 0xf7, 0x7e, 0x05, 0xce,
-	0xa8, 0x15, 0xd7, 0x8f, 0xc2, 0x2b, 0x38, 0xde, 0x99, 0xa9, 0xa5, 0xe0, 0x9a, 0x91, 0x01, 0xb8,
-	0x34, 0xc3, 0xdc, 0x4e, 0xec, 0xc4, 0x16, 0x84, 0x9f, 0x0e, 0xfc, 0x9f, 0xad, 0xb5, 0x64, 0x89,
-	0xa9, 0xd4, 0x3d, 0x68, 0x6b, 0xa6, 0x72, 0xdc, 0x8a, 0x57, 0x70, 0xa3, 0x9d, 0x22, 0x5f, 0x32,
-	0x25, 0x15, 0x72, 0x53, 0x69, 0xd7, 0x8e, 0x76, 0x9c, 0xff, 0x3e, 0xec, 0xbc, 0xd5, 0x70, 0xbe,
-	0x51, 0x4e, 0x32, 0x46, 0x15, 0x5b, 0x78, 0x6e, 0x61, 0xb2, 0x82, 0xe1, 0x11, 0xf4, 0xb7, 0x2e,
-	0x6d, 0x9e, 0x30, 0x84, 0x7f, 0xf7, 0x8a, 0x22, 0xaf, 0x6c, 0x13, 0x68, 0xad, 0xf9, 0x42, 0x94,
-	0xf1, 0x8a, 0xef, 0xf0, 0x01, 0x7a, 0x25, 0xa7, 0x5c, 0xc2, 0xa1, 0xcd, 0x0e, 0xa1, 0x8b, 0xfc,
-	0x35, 0xcd, 0x70, 0xb9, 0xb2, 0xd9, 0x7a, 0x9b, 0xcb, 0x69, 0x81, 0xaf, 0xbf, 0x1c, 0x68, 0x3f,
-	0xdb, 0x2e, 0x49, 0x0c, 0x6e, 0xb1, 0x60, 0x72, 0x11, 0xfd, 0xe8, 0x33, 0x6a, 0x96, 0xe9, 0x5f,
-	0x1e, 0x26, 0x95, 0xc6, 0x1e, 0xa1, 0x5d, 0x06, 0x24, 0xe7, 0x8d, 0x1f, 0x76, 0x0b, 0xf2, 0x83,
-	0xfd, 0x84, 0x72, 0xda, 0x14, 0xdc, 0x22, 0x37, 0x39, 0x6d, 0x50, 0xeb, 0x3b, 0xf3, 0xcf, 0xf6,
-	0x5d, 0xdb, 0x39, 0x77, 0xc3, 0x97, 0x93, 0x3a, 0x61, 0x6c, 0x1f, 0xf5, 0x2d, 0x95, 0x98, 0x4f,
-	0xe6, 0x7f, 0x8a, 0x37, 0x7d, 0xf3, 0x1d, 0x00, 0x00, 0xff, 0xff, 0x68, 0xc3, 0x87, 0x90, 0xeb,
-	0x02, 0x00, 0x00,
+	// 458 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x54, 0xcd, 0x6e, 0xd3, 0x40,
+	0x10, 0x96, 0x1b, 0x3b, 0x49, 0xa7, 0x2d, 0x85, 0xa5, 0x48, 0xc6, 0x15, 0x60, 0x16, 0x0e, 0x91,
+	0x90, 0x12, 0xa5, 0x9c, 0x50, 0x6f, 0x08, 0x55, 0x48, 0x50, 0x81, 0x5c, 0x4e, 0x5c, 0xaa, 0xad,
+	0x33, 0x4e, 0x56, 0x4a, 0xd7, 0x66, 0x77, 0xe3, 0xbe, 0x10, 0x0f, 0xc1, 0x03, 0xf0, 0x60, 0x28,
+	0xfb, 0x13, 0x1c, 0xac, 0x58, 0x48, 0xbd, 0x79, 0x66, 0x3e, 0xcf, 0x7c, 0xf3, 0xcd, 0xa7, 0x85,
+	0x13, 0x56, 0xf1, 0x49, 0x3d, 0x9d, 0x68, 0xc9, 0x8a, 0x82, 0xe7, 0xe3, 0x4a, 0x96, 0xba, 0x24,
+	0xc7, 0x8a, 0xdd, 0x56, 0x0b, 0x2e, 0xb1, 0x58, 0x96, 0x77, 0xe3, 0x7a, 0x4a, 0x33, 0x20, 0x5f,
+	0x65, 0x79, 0x83, 0x57, 0x28, 0x6b, 0x94, 0x19, 0xfe, 0x58, 0xa1, 0xd2, 0x24, 0x81, 0x21, 0x17,
+	0x4a, 0x33, 0x91, 0x63, 0x1c, 0xa4, 0xc1, 0x68, 0x3f, 0xdb, 0xc4, 0x24, 0x85, 0x03, 0x2e, 0x72,
+	0x26, 0x05, 0xd3, 0xbc, 0x14, 0xf1, 0x5e, 0x1a, 0x8c, 0xc2, 0xac, 0x99, 0xa2, 0x6f, 0xe0, 0xf1,
+	0x56, 0x4f, 0x55, 0x95, 0x42, 0x21, 0x39, 0x81, 0x88, 0x2d, 0x79, 0x6d, 0x3b, 0x0e, 0x33, 0x1b,
+	0xd0, 0x9f, 0x01, 0x3c, 0xb8, 0x5a, 0xa9, 0x0a, 0x73, 0xed, 0xa7, 0xc7, 0x30, 0x50, 0x28, 0x6b,
+	0xbe, 0x19, 0xee, 0xc3, 0xf5, 0xec, 0x82, 0x8b, 0x39, 0xca, 0x4a, 0x72, 0xa1, 0xfd, 0xec, 0x46,
+	0x6a, 0x8b, 0x79, 0xaf, 0x9b, 0x79, 0xd8, 0x62, 0xbe, 0x9e, 0x9c, 0x2f, 0x91, 0x49, 0x9c, 0xc5,
+	0x91, 0x21, 0xe9, 0x43, 0xfa, 0x08, 0x8e, 0x37, 0x2c, 0xed, 0x3e, 0x8d, 0x94, 0x72, 0xcc, 0xe9,
+	0x25, 0x3c, 0xfc, 0x9b, 0x72, 0x6b, 0xbf, 0x83, 0xa1, 0xb4, 0x65, 0x15, 0x07, 0x69, 0x6f, 0x74,
+	0x70, 0xf6, 0x6c, 0xfc, 0xcf, 0x15, 0xc6, 0x9f, 0x44, 0x79, 0x27, 0x7c, 0xff, 0x0d, 0x9c, 0xfe,
+	0x0a, 0xe0, 0xb0, 0x59, 0xba, 0x97, 0x32, 0xe7, 0xd0, 0x9f, 0x21, 0xd3, 0x0b, 0x15, 0xf7, 0x0c,
+	0x8b, 0x57, 0x2d, 0x16, 0x6d, 0x23, 0x64, 0xee, 0x97, 0xa6, 0x30, 0xe1, 0x96, 0x30, 0xe4, 0x09,
+	0xf4, 0xd9, 0x1c, 0xaf, 0x6f, 0x95, 0x51, 0x2c, 0xcc, 0x22, 0x36, 0xc7, 0x4b, 0x45, 0x29, 0x1c,
+	0x7e, 0x90, 0x8c, 0x0b, 0x7f, 0x53, 0x02, 0xe1, 0x4a, 0xcc, 0x4a, 0x77, 0x7b, 0xf3, 0x4d, 0x3f,
+	0xc2, 0x91, 0xc3, 0x38, 0xa9, 0xba, 0x6c, 0x77, 0x0a, 0xfb, 0x5c, 0x5c, 0x17, 0x4b, 0x3e, 0x5f,
+	0xd8, 0xf5, 0x8e, 0xd6, 0xc5, 0x0b, 0x13, 0x9f, 0xfd, 0xde, 0x83, 0xc1, 0x37, 0x6b, 0x74, 0x92,
+	0x41, 0x64, 0x16, 0x21, 0xff, 0xb3, 0x60, 0xf2, 0xba, 0x1b, 0xe4, 0x88, 0x7d, 0x86, 0x81, 0x3f,
+	0xc1, 0x8b, 0xd6, 0x0f, 0xdb, 0xee, 0x4d, 0xd2, 0xdd, 0x00, 0xd7, 0xed, 0x0b, 0x0c, 0xbd, 0x4b,
+	0xc8, 0x4e, 0xb4, 0xf7, 0x54, 0xf2, 0xb2, 0x03, 0xe1, 0x1a, 0x5e, 0x40, 0x64, 0x84, 0x24, 0x6d,
+	0x67, 0x35, 0x8f, 0x90, 0x3c, 0xdf, 0x55, 0xb6, 0x7d, 0xde, 0x9f, 0x7e, 0x7f, 0xda, 0x04, 0x4c,
+	0xec, 0x13, 0x72, 0xce, 0x2a, 0x5e, 0x4f, 0x6f, 0xfa, 0xe6, 0x05, 0x79, 0xfb, 0x27, 0x00, 0x00,
+	0xff, 0xff, 0x9c, 0xe4, 0x62, 0x02, 0x59, 0x04, 0x00, 0x00,
 }
--- a/internal/proxy/peer_service.go
+++ b/internal/proxy/peer_service.go
@@ -54,6 +54,11 @@
 	return &apiv1.SuspectResponse{}, nil
 }
 
+// Suspects lists the suspect requests that this node knows.
+func (s *PeerService) Suspects(context.Context, *apiv1.SuspectsRequest) (*apiv1.SuspectsResponse, error) {
+	return &apiv1.SuspectsResponse{Requests: s.suspects.List()}, nil
+}
+
 // Drain drains the local backend server or undoes its draining.
 func (s *PeerService) Drain(ctx context.Context, request *apiv1.DrainRequest) (*apiv1.DrainResponse, error) {
 	info, err := s.local.Drain(ctx, request.Undo)
--- a/internal/suspect/store.go
+++ b/internal/suspect/store.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	apiv1 "samphireflow/api/v1"
 )
 
 const (
@@ -67,7 +69,9 @@
 	if len(e.crashes) < blockingCrashes {
 		e.crashes = append(e.crashes, process)
 	}
-	e.lastCrash = now
+	if now.After(e.lastCrash) {
+		e.lastCrash = now
+	}
 	return true
 }
 
@@ -95,6 +99,42 @@
 	return e != nil && !e.cleared && len(e.crashes) >= blockingCrashes && now.Sub(e.lastCrash) < TTL
 }
 
+// List lists the requests that are remembered.
+func (s *Store) List(now time.Time) []*apiv1.KnownSuspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*apiv1.KnownSuspect
+	for k, e := range s.entries {
+		if now.Sub(e.lastCrash) >= TTL {
+			continue
+		}
+		known := &apiv1.KnownSuspect{
+			Service: k.service, Fingerprint: uint64(k.fingerprint), Cleared: e.cleared, AgeMs: uint64(max(now.Sub(e.lastCrash), 0).Milliseconds()),
+		}
+		for _, process := range e.crashes {
+			known.Deaths = append(known.Deaths, &apiv1.ProbeServerRequest{Instance: process.Instance, Incarnation: process.Incarnation})
+		}
+		list = append(list, known)
+	}
+	return list
+}
+
+// Merge adds what another node has listed.
+func (s *Store) Merge(list []*apiv1.KnownSuspect, now time.Time) {
+	for _, known := range list {
+		age := time.Duration(min(known.AgeMs, uint64(TTL.Milliseconds()))) * time.Millisecond
+		if age >= TTL {
+			continue
+		}
+		for _, death := range known.Deaths {
+			s.RecordCrash(known.Service, Fingerprint(known.Fingerprint), ServerProcess{death.Instance, death.Incarnation}, now.Add(-age))
+		}
+		if known.Cleared {
+			s.RecordCompletion(known.Service, Fingerprint(known.Fingerprint), now)
+		}
+	}
+}
+
 // DeleteExpired deletes the requests whose last crash is at least TTL ago.
 func (s *Store) DeleteExpired(now time.Time) {
 	s.mu.Lock()
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -59,8 +59,9 @@
 	return &Tracker{options: options, store: NewStore()}
 }
 
-// Run deletes expired requests until the context ends.
+// Run learns from other nodes which requests are suspect, then deletes expired requests until the context ends.
 func (t *Tracker) Run(ctx context.Context) error {
+	t.learn(ctx)
 	return periodic.Run(ctx, sweepInterval, func(_ time.Time) {
 		t.store.DeleteExpired(t.options.Now())
 	})
