Put a connection back that the test of endless bytes takes from the pool

Seen: TestEndlessBytesAfterAResponseAreNotRead hung in about 1 run of 100. Cause: the test itself. It took the connection from the pool to see whether it is closed; if the bytes had not arrived yet, it got it, and dropped it without closing it or putting it back, so that the server wrote into it for ever. The product closes or returns each connection that it takes (read: all callers of get). The test is as strict as before: the pool must close the connection once the bytes are there, and the server must notice.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -84,7 +84,13 @@
 	require.NoError(t, err)
 	require.Equal(t, "ok", string(response.Body))
 	// A connection whose bytes came only after the exchange is closed when the next request finds them.
-	require.Eventually(t, func() bool { return client.pool.get(addr, false, time.Now()) == nil }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool {
+		idle := client.pool.get(addr, false, time.Now())
+		if idle != nil {
+			client.pool.put(idle, time.Now())
+		}
+		return idle == nil
+	}, testTimeout, time.Millisecond)
 	require.Less(t, <-written, maxEndlessBytes)
 }
 
