--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 
 BIN := .run/bin
 GO ?= go
-export GOFLAGS := -buildvcs=false
+# Added to the flags of the environment and of go env -w, which an exported variable would hide.
+export GOFLAGS := $(strip $(shell $(GO) env GOFLAGS) -buildvcs=false)
 
 .PHONY: build test demo up down bench prove generate lint ci
 
