Keep invitations to the control group in its membership

Operators: control-members add was acknowledged, and the instance could not join after a change of the leader or a restart.

Change: invitations are part of the replicated membership, are acknowledged once committed, and end when the instance is removed.

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "samphireflow/api/v1"
@@ -32,7 +34,8 @@
 }
 
 // checkMembershipChange allows only changes of one member, so that any majority of the old voters and any majority of the
-// new ones have a member in common. It also refuses to promote a member that has not caught up.
+// new ones have a member in common, or a change of the invitations alone. It also refuses to promote a member that has not
+// caught up.
 func (n *Node) checkMembershipChange(next *apiv1.ReplicaMembership) error {
 	before, after := learnersByID(n.log.latestMembership()), learnersByID(next)
 	if len(after) != len(next.Members) {
@@ -56,6 +59,9 @@
 			changes++
 		}
 	}
+	if changes == 0 && !slices.Equal(n.log.latestMembership().Invited, next.Invited) {
+		return nil
+	}
 	if changes != 1 || voters == 0 {
 		return ErrInvalidMembershipChange
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -77,6 +77,9 @@
 // Membership returns the newest membership in the log. It must not be changed.
 func (n *Node) Membership() *apiv1.ReplicaMembership { return n.log.latestMembership() }
 
+// MembershipCommitted reports whether the newest membership in the log is committed.
+func (n *Node) MembershipCommitted() bool { return n.log.latestMembershipIndex() <= n.log.committed }
+
 // SnapshotIndex returns the index of the newest snapshot.
 func (n *Node) SnapshotIndex() uint64 { return n.log.snapshot.Index }
 
--- a/internal/replica/maintain_membership.go
+++ b/internal/replica/maintain_membership.go
@@ -65,12 +65,17 @@
 		joiners = append(joiners, request.member)
 	}
 	sortMembers(joiners)
-	next, due := nextMembership(r.node.Membership().GetMembers(), joiners, joinPolicy{r.options.OpenGroup, r.invited},
+	current := r.node.Membership()
+	invited := make(map[string]bool, len(current.Invited))
+	for _, name := range current.Invited {
+		invited[name] = true
+	}
+	next, due := nextMembership(current.Members, joiners, joinPolicy{r.options.OpenGroup, invited},
 		leaderHealth{r.node, r.electionTicks(), r.options.OpenGroup})
 	if !due {
 		return
 	}
-	if _, _, err := r.node.ProposeMembership(&apiv1.ReplicaMembership{Members: next}); err == nil {
+	if _, _, err := r.node.ProposeMembership(&apiv1.ReplicaMembership{Members: next, Invited: current.Invited}); err == nil {
 		r.options.Logger.Info().Interface("members", membersOf(next)).Msg("the control group changes")
 	}
 }
--- a/internal/replica/members_server.go
+++ b/internal/replica/members_server.go
@@ -87,7 +87,7 @@
 		return &apiv1.ChangeControlMembersResponse{Fate: apiv1.ChangeFate_CHANGE_FATE_ACCEPTED}
 	}
 	notApplied := []error{
-		ErrNotLeader, ErrNoQuorum, ErrClosed, ErrStopped, ErrNoSuchMember,
+		ErrNotLeader, ErrNoQuorum, ErrClosed, ErrStopped, ErrNoSuchMember, ErrTooManyInvited,
 		raft.ErrNotLeader, raft.ErrMembershipChangePending, raft.ErrInvalidMembershipChange, raft.ErrLearnerBehind,
 	}
 	fate := apiv1.ChangeFate_CHANGE_FATE_UNKNOWN
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,9 +53,8 @@
 	// that the membership does not list.
 	senderAddrs map[string]string
 	identity    *apiv1.FolderIdentity
-	// joinRequests and invited are kept by the leader, by instance name.
+	// joinRequests is kept by the leader, by instance name.
 	joinRequests map[string]joinRequest
-	invited      map[string]bool
 	// joinStorageError is a failure to store what the join protocol decided. It stops the loop.
 	joinStorageError error
 	// stopJoinLoop stops joinLoop and waits until it has returned.
@@ -103,7 +102,6 @@
 		lastReadID:   options.Rand.Uint64(),
 		senderAddrs:  map[string]string{},
 		joinRequests: map[string]joinRequest{},
-		invited:      map[string]bool{},
 		stopJoinLoop: func() {},
 	}
 }
--- a/test/control/members_test.go
+++ b/test/control/members_test.go
@@ -89,3 +89,38 @@
 	require.Eventually(t, func() bool { return survivor.Status().LastContact > 2*attemptTimeout }, settleTimeout, time.Millisecond,
 		"the survivor reports the age of its last contact with a quorum")
 }
+
+// TestInvitationOutlastsTheLeader guards against an invitation that was acknowledged and is forgotten, because only the leader
+// knew it: all instances restart between the invitation and the join.
+func TestInvitationOutlastsTheLeader(t *testing.T) {
+	g := startGroup(t, 5, 3)
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+		defer cancel()
+		return g.leader().Invite(ctx, "c3") == nil
+	}, settleTimeout, tickInterval)
+	for _, i := range g.instances {
+		g.stop(i, true)
+	}
+	for _, i := range g.instances {
+		g.start(i)
+	}
+	g.awaitVoters()
+	invited := &instance{name: "c3", disk: waltest.NewDisk()}
+	g.start(invited)
+	g.instances = append(g.instances, invited)
+	g.awaitVoters()
+	require.Len(t, g.leader().Status().Voters, 4)
+
+	remove := func(name string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+		defer cancel()
+		return g.leader().Remove(ctx, name)
+	}
+	require.Eventually(t, func() bool { return remove("c3") == nil }, settleTimeout, tickInterval)
+	g.stop(invited, false)
+	invited.disk = waltest.NewDisk()
+	g.start(invited)
+	require.Eventually(t, func() bool { return len(g.leader().Status().Joiners) == 1 }, settleTimeout, tickInterval)
+	require.Len(t, g.leader().Status().Members, 3, "the invitation ends with the removal")
+}
