Give the slot of a stalled response back at its deadline

Change: the slot is also released when the context of the exchange ends.

TestStalledReaderDoesNotKeepTheSlot is new; with the slot bound to Close alone nothing in it would have released the slot.

--- a/internal/gate/endless_response_test.go
+++ b/internal/gate/endless_response_test.go
@@ -71,3 +71,20 @@
 	}
 	require.Zero(t, g.Load().Running)
 }
+
+// TestStalledReaderDoesNotKeepTheSlot reads nothing of a long response until after the deadline of the call, when the exchange
+// with the backend server has ended.
+func TestStalledReaderDoesNotKeepTheSlot(t *testing.T) {
+	addr, sending := startEndlessBackend(t)
+	clock := time.Now()
+	g, _ := newTestGate(addr, &clock)
+	call := newTestCall(clock)
+	call.Deadline = clock.Add(200 * time.Millisecond)
+	result := g.Pass(context.Background(), call, "a", clock.Add(50*time.Millisecond))
+	require.Equal(t, calls.Answered, result.Outcome)
+	require.Equal(t, 1, g.Load().Running)
+	require.Eventually(t, func() bool { return g.Load().Running == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return sending.Load() == 0 }, 10*time.Second, time.Millisecond, "its connection is closed")
+	require.NoError(t, result.Response.Rest.Close())
+	require.Zero(t, g.Load().Running, "the slot is given back once")
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -138,7 +138,9 @@
 	}
 	g.recordRun(c)
 	started := g.options.Now()
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
 	result := g.send(ctx, c, server)
+	calls.CancelWhenRead(result.Response, cancel)
 	result.Latency = g.options.Now().Sub(started)
 	g.recordOutcome(c, server, result)
 	switch {
@@ -146,9 +148,9 @@
 		g.release(queue, c.Route, 0)
 	case result.Response.Rest != nil:
 		// The backend server is still sending, so the call keeps its slot.
-		result.Response.Rest = &slotHolder{ReadCloser: result.Response.Rest, release: func() {
+		result.Response.Rest = newSlotHolder(ctx, result.Response.Rest, func() {
 			g.release(queue, c.Route, g.options.Now().Sub(started))
-		}}
+		})
 	default:
 		g.release(queue, c.Route, result.Latency)
 	}
@@ -272,17 +274,14 @@
 	queue.Release(route, latency, g.options.Now())
 }
 
-// send sends the call to the backend server and returns the result.
+// send sends the call to the backend server and returns the result. The end of the context aborts the exchange, also while the
+// rest of a long response is read.
 func (g *Gate) send(ctx context.Context, c *calls.Call, server serverIncarnation) *calls.Result {
-	now := g.options.Now()
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
-	response, err := g.client.Do(ctx, server.addr, g.request(c, server, now))
+	response, err := g.client.Do(ctx, server.addr, g.request(c, server, g.options.Now()))
 	if err != nil {
-		cancel()
 		return g.exchangeFailure(err)
 	}
 	g.closeBreaker()
-	calls.CancelWhenRead(response, cancel)
 	return g.classify(response)
 }
 
