Give the memory of a stalled response back after its deadline

Change: writes to a caller fail from one second after the deadline of its call.

TestStalledCallerGivesMemoryBack is new; it takes the deadline and that second.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -73,7 +73,7 @@
 		refused.write(w)
 		return
 	}
-	g.write(w, r, local, response)
+	writeBefore(w, c.deadline.Add(writeGrace), func() { g.write(w, r, local, response) })
 }
 
 // admit returns the backend server that the call is for, or a refusal if it is not the local one or not ready.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -98,7 +98,20 @@
 		refused.write(w)
 		return
 	}
-	response.write(w, r)
+	writeBefore(w, c.deadline.Add(writeGrace), func() { response.write(w, r) })
+}
+
+// writeGrace is the time after the deadline of a call for which its caller may still read the response.
+const writeGrace = time.Second
+
+// writeBefore lets writes to the caller fail from a point of time on. A caller that does not read would otherwise hold the
+// memory of its response for ever.
+func writeBefore(w http.ResponseWriter, deadline time.Time, write func()) {
+	controller := http.NewResponseController(w)
+	// The deadline is not supported by writers that hold the whole response, which need none.
+	_ = controller.SetWriteDeadline(deadline)
+	write()
+	_ = controller.SetWriteDeadline(time.Time{})
 }
 
 // Drain makes every response close its connection, so that callers use other nodes before this one stops.
--- a/internal/proxy/response_memory_test.go
+++ b/internal/proxy/response_memory_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -121,3 +124,27 @@
 type zeros struct{}
 
 func (zeros) Read(buffer []byte) (int, error) { return len(buffer), nil }
+
+// TestStalledCallerGivesMemoryBack lets a caller read nothing of a long response. Its memory must be given back soon after the
+// deadline of the call.
+func TestStalledCallerGivesMemoryBack(t *testing.T) {
+	body := strings.Repeat("x", maxResponseBytes)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body)
+	}))
+	defer backend.Close()
+	p := newTestProxy(t, Options{}, defaultSettings(), serverInfo("a", backend.Listener.Addr().String()))
+	node := httptest.NewServer(p.Proxy)
+	defer node.Close()
+	conn, err := net.Dial("tcp", node.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	deadline := time.Now().Add(time.Second)
+	_, err = fmt.Fprintf(conn, "GET /rota/1 HTTP/1.1\r\nHost: h\r\n%s: %d\r\n\r\n", HeaderDeadline, deadline.UnixMilli())
+	require.NoError(t, err)
+	memory := &p.sender.memory
+	require.Eventually(t, func() bool { return memory.reserved.Load() > 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return memory.reserved.Load() == 0 }, 15*time.Second, time.Millisecond)
+}
