--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -33,7 +33,8 @@
 
 // Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of the
 // same incarnation are ignored. It returns once another process has stored that, so that a restart of this node does not undo
-// it; otherwise the error wraps ErrNotStored, or member.ErrInvalidServer for an impossible name. An instance that is not the one of the last heartbeat has been replaced already.
+// it; otherwise the error wraps ErrNotStored, or member.ErrInvalidServer for an impossible name. An instance that is not the
+// one of the last heartbeat has been replaced already.
 func (n *Node) Withdraw(ctx context.Context, instance string) error {
 	if err := member.CheckName(instance); err != nil {
 		return err
