Never leave two writes of the log unsynced

Cause: a hard state that only raises the commit index was written without a sync. If the power fails before the next sync ends, it and the entries after it are both unsynced, and each may be kept or lost on its own. A lost first and a kept second one leave zeros before a sound record, which must be refused.

Change: what is saved without a sync is kept in memory and written in one piece with the next synced records, at a rotation or at the close.

The simulated disk now keeps, loses or tears each unsynced write.

--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -16,7 +16,7 @@
 // state, so that older segments can be removed.
 func (l *Log) rotate() error {
 	if l.segmentFile != nil {
-		if err := l.segmentFile.Sync(); err != nil {
+		if err := l.flush(); err != nil {
 			return err
 		}
 		if err := l.segmentFile.Close(); err != nil {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -22,11 +22,16 @@
 	segmentBytes int64
 	lock         io.Closer
 	segmentFile  File
-	segments     []Segment
-	sequence     uint64
-	hardState    raft.HardState
-	lastIndex    uint64
-	stopped      bool
+	// pending holds the records that were saved without a sync. They are written together with the next ones that are synced.
+	//
+	// Invariant: at most one write of a segment is not synced. A power loss keeps each such write or not, so of two of them
+	// the first may be missing, and a segment with a gap cannot be told from a damaged one.
+	pending   []byte
+	segments  []Segment
+	sequence  uint64
+	hardState raft.HardState
+	lastIndex uint64
+	stopped   bool
 }
 
 // Options configures a Log.
@@ -136,8 +141,8 @@
 	return l.stopOnError(l.writeIdentity(identity))
 }
 
-// Save appends a hard state, unless it is nil, and entries, and syncs them if sync is set. Any failure stops the log
-// permanently.
+// Save appends a hard state, unless it is nil, and entries. If sync is set, it writes and syncs them and what was saved before;
+// otherwise they are lost if the process ends before the next sync. Any failure stops the log permanently.
 func (l *Log) Save(state *raft.HardState, entries []*apiv1.Entry, sync bool) error {
 	if l.stopped {
 		return ErrStopped
@@ -191,17 +196,29 @@
 	return l.write(appendRecord(nil, &apiv1.LogRecord{Kind: &apiv1.LogRecord_LogReset{LogReset: reset}}), true)
 }
 
+// maxPendingBytes limits the records that wait for a sync, in bytes.
+const maxPendingBytes = 64 << 10
+
+// write appends records to the pending ones, and writes and syncs all if sync is set or too many are pending.
 func (l *Log) write(buffer []byte, sync bool) error {
-	if len(buffer) > 0 {
-		if _, err := l.segmentFile.Write(buffer); err != nil {
-			return l.stopOnError(err)
-		}
-		l.currentSegment().Bytes += int64(len(buffer))
+	l.pending = append(l.pending, buffer...)
+	if !sync && len(l.pending) < maxPendingBytes {
+		return nil
 	}
-	if sync {
-		if err := l.segmentFile.Sync(); err != nil {
-			return l.stopOnError(err)
+	return l.stopOnError(l.flush())
+}
+
+// flush writes and syncs the pending records.
+func (l *Log) flush() error {
+	if len(l.pending) > 0 {
+		if _, err := l.segmentFile.Write(l.pending); err != nil {
+			return err
 		}
+		l.currentSegment().Bytes += int64(len(l.pending))
+		l.pending = nil
+	}
+	if err := l.segmentFile.Sync(); err != nil {
+		return err
 	}
 	l.currentSegment().LastIndex = l.lastIndex
 	return nil
@@ -216,11 +233,16 @@
 	return errors.Wrap(ErrStopped, err.Error())
 }
 
-// Close closes the current segment and releases the lock on the folder.
+// Close writes the pending records, closes the current segment and releases the lock on the folder.
 func (l *Log) Close() error {
 	var err error
 	if l.segmentFile != nil {
-		err = l.segmentFile.Close()
+		if !l.stopped && len(l.pending) > 0 {
+			err = l.flush()
+		}
+		if closeErr := l.segmentFile.Close(); err == nil {
+			err = closeErr
+		}
 	}
 	if lockErr := l.lock.Close(); err == nil {
 		err = lockErr
--- a/internal/waltest/disk.go
+++ b/internal/waltest/disk.go
@@ -43,6 +43,8 @@
 	data []byte
 	// syncedBytes is the length of the data that survives a power loss for certain.
 	syncedBytes int
+	// unsynced holds the lengths of the writes after syncedBytes, in order.
+	unsynced []int
 	// syncFailed is set after a failed sync. Later syncs of the file report success, but make nothing durable.
 	syncFailed bool
 }
@@ -77,8 +79,8 @@
 	<-thawed
 }
 
-// PowerLoss keeps everything that was synced, and of the rest a part that it chooses at random. It invalidates open
-// files and releases all locks.
+// PowerLoss keeps everything that was synced, and of the rest a part that it chooses at random: its beginning, or of each later
+// write all, nothing or the beginning. It invalidates open files and releases all locks.
 func (d *Disk) PowerLoss(random *rand.Rand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -90,15 +92,32 @@
 	d.files = map[string]*inode{}
 	for _, name := range sortedPaths(d.durableFiles) {
 		node := d.durableFiles[name]
-		kept := node.syncedBytes
-		if extra := len(node.data) - node.syncedBytes; extra > 0 {
-			kept += random.IntN(extra + 1)
-		}
-		d.files[name] = &inode{data: append([]byte(nil), node.data[:kept]...), syncedBytes: kept}
+		data := node.afterPowerLoss(random)
+		d.files[name] = &inode{data: data, syncedBytes: len(data)}
 	}
 	d.durableFiles = copyFiles(d.files)
 }
 
+// afterPowerLoss returns the data that a power loss leaves of a file. Where a write is missing and a later one is not, the file
+// has zeros.
+func (n *inode) afterPowerLoss(random *rand.Rand) []byte {
+	extra := len(n.data) - n.syncedBytes
+	if extra > 0 && random.IntN(2) == 0 {
+		return append([]byte(nil), n.data[:n.syncedBytes+random.IntN(extra+1)]...)
+	}
+	left := append([]byte(nil), n.data[:n.syncedBytes]...)
+	offset := n.syncedBytes
+	for _, length := range n.unsynced {
+		kept := []int{0, length, random.IntN(length + 1)}[random.IntN(3)]
+		if kept > 0 {
+			left = append(left, make([]byte, offset-len(left))...)
+			left = append(left, n.data[offset:offset+kept]...)
+		}
+		offset += length
+	}
+	return left
+}
+
 // FailSyncs makes all syncs fail from now on, or succeed again.
 func (d *Disk) FailSyncs(fail bool) {
 	d.mu.Lock()
@@ -262,6 +281,7 @@
 	written := min(len(data), f.disk.freeBytes)
 	f.disk.freeBytes -= written
 	f.node.data = append(f.node.data, data[:written]...)
+	f.node.unsynced = append(f.node.unsynced, written)
 	if written < len(data) {
 		return written, ErrFull
 	}
@@ -282,6 +302,7 @@
 	}
 	if !f.node.syncFailed {
 		f.node.syncedBytes = len(f.node.data)
+		f.node.unsynced = nil
 	}
 	return nil
 }
