Use the pieces that the project already had, and simplify what was read again

- member.LeavingRecord serves the node too, which had a copy of it.
- slices.ContainsFunc with member.CarriesDrain in place of a loop of our own, and periodic.Run in place of a ticker, as the other loops of control have it.
- A relay hands drains on with one channel of results; the wait group, the second channel and the check after it are gone.
- A nil StopAdmission admits all, so its two users need no check.
- The proxy admits a call and runs it in two steps in place of one function with three results.
- slices.Delete evicts an answer at any position; the case of the first is gone.

No test was changed.

--- a/internal/calls/stop_admission.go
+++ b/internal/calls/stop_admission.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// StopAdmission decides which calls a node still takes once it stops. It is safe for concurrent use; its zero value is that of
-// a node that does not stop.
+// StopAdmission decides which calls a node still takes once it stops. It is safe for concurrent use; nil and its
+// zero value are those of a node that does not stop.
 //
 // Load pattern: callers and other nodes go on sending for some seconds after a planned stop has begun, each with the time limit
 // of its own call. A call that is taken late and ends after the process does gets no answer, although it may have run.
@@ -30,6 +30,9 @@
 
 // Admits reports whether a call with the given deadline is taken now.
 func (a *StopAdmission) Admits(now, deadline time.Time) bool {
+	if a == nil {
+		return true
+	}
 	plan := a.plan.Load()
 	return plan == nil || now.Before(plan.anyUntil) || !deadline.After(plan.completeBy)
 }
--- a/internal/control/departure_loop.go
+++ b/internal/control/departure_loop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"samphireflow/internal/periodic"
 )
 
 // departureInterval is the time between two checks for departures that came from other control instances.
@@ -11,16 +13,10 @@
 // departureLoop stores the departures that this instance has learned from others. Those that its own nodes announce are stored
 // before they are confirmed.
 func (s *Server) departureLoop(ctx context.Context) error {
-	ticker := time.NewTicker(departureInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			_ = s.saveDepartures()
-		}
-	}
+	return periodic.Run(ctx, departureInterval, func(time.Time) {
+		// A failure is logged, and the next run tries again.
+		_ = s.saveDepartures()
+	})
 }
 
 // saveDepartures stores all departures that the table of members holds. It logs a failure when it follows a success.
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/distribution"
+	"samphireflow/internal/member"
 )
 
 // membershipService serves the twirp service Membership.
@@ -25,8 +26,8 @@
 		Version: s.options.Machine.View().Version,
 		AgeMs:   uint64(s.options.Log.Status().LastContact.Milliseconds()),
 	}
-	carriesDrain := distribution.CarriesDrain(request.Servers) || len(request.LeavingServers) > 0
 	s.members.Renew(request, response, s.now())
+	carriesDrain := slices.ContainsFunc(request.Servers, member.CarriesDrain) || len(request.LeavingServers) > 0
 	if carriesDrain && s.saveDepartures() != nil {
 		response.DrainNotStored = true
 	}
--- a/internal/control/relay_service.go
+++ b/internal/control/relay_service.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
+	"samphireflow/internal/member"
 )
 
 // relayService serves the twirp service Relay to relays and to the other control instances.
@@ -16,7 +18,7 @@
 func (s relayService) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
 	source := watchSource(s)
 	response := distribution.HandleSync(s.members, request, source.MembersComplete(), s.now())
-	if distribution.CarriesDrain(request.Servers) {
+	if slices.ContainsFunc(request.Servers, member.CarriesDrain) {
 		// A failure is logged, and the departure loop tries again.
 		_ = s.saveDepartures()
 	}
--- a/internal/distribution/departure.go
+++ b/internal/distribution/departure.go
@@ -2,23 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/member"
 )
 
-// CarriesDrain reports whether any of the records must outlast the restart of a node; see member.CarriesDrain.
-func CarriesDrain(servers []*apiv1.BackendServer) bool {
-	for _, server := range servers {
-		if member.CarriesDrain(server) {
-			return true
-		}
-	}
-	return false
-}
-
 // handOnTimeout bounds the time for which the renewal of a node waits for other processes to take its records. It is below the
 // time limits of nodes for a renewal.
 const handOnTimeout = 500 * time.Millisecond
@@ -33,29 +21,23 @@
 	for _, control := range r.controls {
 		targets = append(targets, control.client)
 	}
-	taken := make(chan struct{}, len(targets))
-	var running sync.WaitGroup
+	taken := make(chan bool, len(targets))
 	for _, target := range targets {
-		running.Go(func() {
+		go func() {
 			request := r.syncRequest(held)
 			request.Servers = servers
-			if _, err := target.Relay.Sync(ctx, request); err != nil {
+			_, err := target.Relay.Sync(ctx, request)
+			if err != nil {
 				r.options.Logger.Debug().Err(err).Str("to", target.Addr).Msg("drain not handed on")
-				return
 			}
-			taken <- struct{}{}
-		})
+			taken <- err == nil
+		}()
 	}
-	allDone := make(chan struct{})
-	go func() {
-		running.Wait()
-		close(allDone)
-	}()
-	select {
-	case <-taken:
-		// The others get the records by the exchange of members at the latest.
-		return true
-	case <-allDone:
-		return len(taken) > 0
+	for range targets {
+		if <-taken {
+			// The others get the records by the exchange of members at the latest.
+			return true
+		}
 	}
+	return false
 }
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -24,7 +24,7 @@
 		WriteResult(w, r.Header.Get(g.options.Headers.RequestID), g.options.Headers, refusal(calls.ReasonMisdirected, err.Error()))
 		return
 	}
-	if stop := g.options.Stop; stop != nil && !stop.Admits(g.options.Now(), f.call.Deadline) {
+	if !g.options.Stop.Admits(g.options.Now(), f.call.Deadline) {
 		WriteResult(w, f.call.ID, g.options.Headers, refusal(calls.ReasonDraining, "this node stops before the call must end"))
 		return
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,7 +45,7 @@
 		i.refuse(w, r, &dispatch{table: table, call: &calls.Call{ID: id, Route: route.Config.Name}}, refused)
 		return
 	}
-	if stop := i.options.Stop; stop != nil && !stop.Admits(arrived, c.Deadline) {
+	if !i.options.Stop.Admits(arrived, c.Deadline) {
 		i.refuse(w, r, &dispatch{table: table, call: c, service: route.Config.Service}, notRun("this node stops before the call must end", minRetryAfter))
 		return
 	}
--- a/internal/member/check_server.go
+++ b/internal/member/check_server.go
@@ -18,8 +18,8 @@
 	maxNameBytes   = 255
 	maxSlots       = 1 << 16
 	maxConnections = 1 << 20
-	// maxColdTime is the longest slow start.
-	maxColdTime = time.Hour
+	// MaxColdTime is the longest slow start of a backend server.
+	MaxColdTime = time.Hour
 	// maxClockDifference is the time by which the clock of a backend server may be ahead.
 	maxClockDifference = 5 * time.Minute
 )
@@ -46,7 +46,7 @@
 		field = "slots"
 	case server.Connections > maxConnections:
 		field = "connections"
-	case server.ColdMs > uint32(maxColdTime.Milliseconds()):
+	case server.ColdMs > uint32(MaxColdTime.Milliseconds()):
 		field = "slow start"
 	case apiv1.ServerState_name[int32(server.State)] == "":
 		field = "state"
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -84,7 +84,7 @@
 	}
 	for _, instance := range request.LeavingServers {
 		if known := t.servers.leases[instance]; known != nil && known.record.Node == request.Node.GetInstance() && !known.record.Leaving {
-			t.servers.put(leavingRecord(known.record), now)
+			t.servers.put(LeavingRecord(known.record), now)
 		}
 	}
 	return mustExceed
@@ -106,8 +106,8 @@
 	return list
 }
 
-// leavingRecord returns a copy of a record that says that the backend server leaves.
-func leavingRecord(server *apiv1.BackendServer) *apiv1.BackendServer {
+// LeavingRecord returns a copy of a record that says that the backend server leaves.
+func LeavingRecord(server *apiv1.BackendServer) *apiv1.BackendServer {
 	leaving := proto.Clone(server).(*apiv1.BackendServer)
 	leaving.Leaving = true
 	if leaving.State != apiv1.ServerState_SERVER_STATE_GONE {
--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
@@ -50,23 +49,13 @@
 		return nil
 	}
 	if n.announced != nil && n.announced.server.Instance == instance {
-		n.announced.server = leavingServer(n.announced.server)
+		n.announced.server = member.LeavingRecord(n.announced.server)
 	}
 	n.mu.Unlock()
 	n.options.Logger.Info().Str("backend_server", instance).Msg("backend server withdrawn")
 	return n.readvertiseAndStore(ctx)
 }
 
-// leavingServer returns a copy of a record that says that the backend server leaves.
-func leavingServer(server *apiv1.BackendServer) *apiv1.BackendServer {
-	leaving := proto.Clone(server).(*apiv1.BackendServer)
-	leaving.Leaving = true
-	if leaving.State != apiv1.ServerState_SERVER_STATE_GONE {
-		leaving.State = apiv1.ServerState_SERVER_STATE_DRAINING
-	}
-	return leaving
-}
-
 // readvertiseAndStore updates the advertised record and waits until the home of the leases has stored it.
 func (n *Node) readvertiseAndStore(ctx context.Context) error {
 	n.readvertise()
@@ -121,7 +110,7 @@
 		}
 		if known.Leaving && !n.lastHeartbeat.leaving {
 			n.lastHeartbeat.leaving = true
-			n.announced.server = leavingServer(n.announced.server)
+			n.announced.server = member.LeavingRecord(n.announced.server)
 			learned = true
 		}
 		if known.DrainOrder > n.drain.number {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -90,10 +90,13 @@
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, response, refused := p.handle(r)
-	if c != nil {
-		defer func() { c.memory.release() }()
+	c, refused := p.admitted(r)
+	if refused != nil {
+		refused.write(w)
+		return
 	}
+	defer func() { c.memory.release() }()
+	response, refused := p.run(c)
 	if refused != nil {
 		refused.write(w)
 		return
@@ -125,30 +128,33 @@
 	p.gateTransport.CloseIdleConnections()
 }
 
-// handle returns the call, nil for an invalid request, and its response or refusal.
-func (p *Proxy) handle(r *http.Request) (*call, *bufferedResponse, *refusal) {
+// admitted returns the call of a request, or its refusal before any backend server is tried.
+func (p *Proxy) admitted(r *http.Request) (*call, *refusal) {
 	table := p.options.Table()
 	if table == nil {
-		return nil, nil, notRunRefusal(http.StatusServiceUnavailable, "the node has no configuration yet")
+		return nil, notRunRefusal(http.StatusServiceUnavailable, "the node has no configuration yet")
 	}
 	now := p.now()
 	c, refused := readCall(r, table, now)
 	if refused != nil {
-		return nil, nil, refused
+		return nil, refused
 	}
 	c.service = withFallback(table, c.service)
 	c.state = p.states.get(c.route.Config.Name)
 	if refused := p.admit(c, now); refused != nil {
-		return c, nil, refused
+		return nil, refused
 	}
+	return c, nil
+}
+
+// run runs a call that was admitted.
+func (p *Proxy) run(c *call) (*bufferedResponse, *refusal) {
 	if c.key != "" && !c.route.Config.Idempotent {
-		response, refused := p.serveAtMostOnce(c)
-		return c, response, refused
+		return p.serveAtMostOnce(c)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
-	response, refused := p.serve(ctx, c)
-	return c, response, refused
+	return p.serve(ctx, c)
 }
 
 // admit refuses a call that cannot meet its deadline, exceeds the rate limit of its resource, or is blocked, before any
--- a/internal/proxy/sender.go
+++ b/internal/proxy/sender.go
@@ -65,8 +65,7 @@
 }
 
 // roundTrip sends one request and reads the whole response. The body is held in the call's reservation, which the caller
-// releases. An error that matches errNotSent proves that no byte of the
-// request was sent.
+// releases. An error that matches errNotSent proves that no byte of the request was sent.
 func (s *sender) roundTrip(ctx context.Context, c *call, to *destination) (*bufferedResponse, error) {
 	tracker := newSendTracker()
 	request := s.newRequest(httptrace.WithClientTrace(ctx, &tracker.trace), c, to)
--- a/internal/state/answer_store.go
+++ b/internal/state/answer_store.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "samphireflow/api/v1"
@@ -52,11 +54,7 @@
 	id := a.order[position]
 	a.bytes -= proto.Size(a.byID[id])
 	delete(a.byID, id)
-	if position == 0 {
-		a.order = a.order[1:]
-		return
-	}
-	a.order = append(a.order[:position:position], a.order[position+1:]...)
+	a.order = slices.Delete(a.order, position, position+1)
 }
 
 // oldestRefusal returns the position in order of the oldest answer that refused its request, the newest answer excepted. It
