--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,7 +60,7 @@
 	// number of further retries that they may send at once. Zero selects the defaults.
 	RetryRatio float64 `validate:"gte=0,lte=1" flag:"retry-ratio"`
 	RetrySlack float64 `validate:"gte=0" flag:"retry-slack"`
-	// MemoryLimitMB is the memory in MB above which the machine ends the process. Zero means that there is no limit.
+	// MemoryLimitMB is the memory in MB above which the process is killed from outside. Zero means that there is no limit.
 	MemoryLimitMB int `validate:"gte=0" flag:"memory-limit"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
 	Seeds []string `validate:"dive,ipport" flag:"seeds"`
@@ -142,7 +142,7 @@
 	flags.DurationVar(&s.ShutdownTimeout, "stop-time", 0, "time in which a stopping process must have ended; 0 for the default")
 	flags.Float64Var(&s.RetryRatio, "retry-ratio", 0, "ratio of retries to the calls of a service, over all nodes with a gate, 0 to 1; 0 for the default (node)")
 	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
-	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the machine ends the process; 0 for none")
+	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the process is killed from outside; 0 for none")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return listFlags{
 		peers:            flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
