Customers by their keys, and routes with long responses

The first node checks the key, replaces it by the customer's name and takes the customer's priority; hops carry the name. The interfaces of the other parts come with it.

--- a/internal/calls/headers.go
+++ b/internal/calls/headers.go
@@ -20,6 +20,13 @@
 	NotRun string
 	// Load is the load of a backend server in the form that ParseLoad reads.
 	Load string
+	// Customer tells backend servers the name of the customer. It is empty if the deployment has no such field; then the
+	// customer is not sent.
+	Customer string
+	// Key carries the key of a customer, after KeyScheme and a space if that is not empty. It is never forwarded while
+	// callers are authenticated.
+	Key       string
+	KeyScheme string
 	// Stamp is set in every response that comes from a backend server itself. It is empty if the deployment's backend
 	// servers set no such field.
 	Stamp string
@@ -34,6 +41,9 @@
 		TargetServer: "Samphireflow-Target",
 		NotRun:       "Samphireflow-Shed",
 		Load:         "Samphireflow-Load",
+		Customer:     "Samphireflow-Customer",
+		Key:          "Authorization",
+		KeyScheme:    "Bearer",
 	}
 }
 
--- a/internal/calls/hop_metadata.go
+++ b/internal/calls/hop_metadata.go
@@ -19,15 +19,17 @@
 	Priority   int
 	Idempotent bool
 	Repeated   bool
-	Objective  time.Duration
-	Deadline   time.Duration
+	// Customer is the name of the customer, empty for a call without one.
+	Customer  string
+	Objective time.Duration
+	Deadline  time.Duration
 	// FinishBy is the time by which the call must be expected to finish, or else it does not wait at the gate.
 	FinishBy time.Duration
 }
 
 // Numbers of fields in HopCallHeader and HopTimesHeader.
 const (
-	hopCallFieldCount  = 5
+	hopCallFieldCount  = 6
 	hopTimesFieldCount = 3
 )
 
@@ -37,7 +39,7 @@
 // Write sets the header fields that ReadHopMetadata reads. HopCallHeader holds what is the same for many calls, so that it
 // compresses well; HopTimesHeader holds the times in milliseconds.
 func (h HopMetadata) Write(header http.Header) {
-	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), formatBool(h.Idempotent), formatBool(h.Repeated)}, " "))
+	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), formatBool(h.Idempotent), formatBool(h.Repeated), url.PathEscape(h.Customer)}, " "))
 	header.Set(HopTimesHeader, strings.Join([]string{formatMilliseconds(h.Objective), formatMilliseconds(h.Deadline), formatMilliseconds(h.FinishBy)}, " "))
 }
 
@@ -69,6 +71,9 @@
 	if h.Priority, err = strconv.Atoi(fields[2]); err != nil {
 		return HopMetadata{}, errors.Wrap(err, "priority")
 	}
+	if h.Customer, err = url.PathUnescape(fields[5]); err != nil {
+		return HopMetadata{}, errors.Wrap(err, "customer")
+	}
 	if err := h.parseTimes(header.Get(HopTimesHeader)); err != nil {
 		return HopMetadata{}, err
 	}
--- a/internal/calls/hop_metadata_test.go
+++ b/internal/calls/hop_metadata_test.go
@@ -24,6 +24,7 @@
 			Priority:   rapid.Int().Draw(t, "priority"),
 			Idempotent: rapid.Bool().Draw(t, "idempotent"),
 			Repeated:   rapid.Bool().Draw(t, "repeated"),
+			Customer:   rapid.String().Draw(t, "customer"),
 			Objective:  duration("objective"),
 			Deadline:   duration("deadline"),
 			FinishBy:   duration("finish by"),
@@ -38,11 +39,11 @@
 
 // FuzzReadHopMetadata gives a gate header fields that another node, or anything else that reaches its port, may send.
 func FuzzReadHopMetadata(f *testing.F) {
+	f.Add("s-1 desk%2Fbook 1 0 1 court", "300 1200 225")
 	f.Add("s-1 desk%2Fbook 1 0 1", "300 1200 225")
-	f.Add("s-1 desk%2Fbook 1 0", "300 1200 225")
-	f.Add("%zz r 1 0 1", "1 2 3")
+	f.Add("%zz r 1 0 1 ", "1 2 3")
 	f.Add("    ", "  ")
-	f.Add("a b 99999999999999999999 1 1", "9223372036854775807 -1 0")
+	f.Add("a b 99999999999999999999 1 1 %zz", "9223372036854775807 -1 0")
 	f.Fuzz(func(t *testing.T, call, times string) {
 		header := http.Header{}
 		header.Set(calls.HopCallHeader, call)
--- a/internal/calls/load.go
+++ b/internal/calls/load.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"math"
 	"strconv"
 	"strings"
 )
@@ -10,20 +11,29 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is the time that work takes on the machine at this moment, relative to the usual: 1 is as usual, 0 unknown.
+	Slowdown float64
 }
 
 // String returns the form that ParseLoad reads.
 func (l Load) String() string {
-	return strconv.Itoa(l.Running) + "," + strconv.Itoa(l.Waiting) + "," + strconv.Itoa(l.Slots)
+	text := strconv.Itoa(l.Running) + "," + strconv.Itoa(l.Waiting) + "," + strconv.Itoa(l.Slots)
+	if l.Slowdown > 0 {
+		text += "," + strconv.Itoa(int(math.Round(percent*l.Slowdown)))
+	}
+	return text
 }
 
-// ParseLoad parses the form "running,waiting,slots".
+// percent is the unit of Slowdown in text.
+const percent = 100.0
+
+// ParseLoad parses the form "running,waiting,slots" or "running,waiting,slots,slowdown", with the slowdown in percent.
 func ParseLoad(text string) (Load, bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != 3 && len(parts) != 4 {
 		return Load{}, false
 	}
-	var numbers [3]int
+	var numbers [4]int
 	for i, part := range parts {
 		number, err := strconv.Atoi(strings.TrimSpace(part))
 		if err != nil || number < 0 {
@@ -31,5 +41,5 @@
 		}
 		numbers[i] = number
 	}
-	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Slowdown: float64(numbers[3]) / percent}, true
 }
--- a/internal/daemon/platform_options.go
+++ b/internal/daemon/platform_options.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
@@ -17,7 +18,7 @@
 	Headers calls.Headers
 	// OperatorHandler returns the handler that serves operators of the platform on the control address of a control
 	// instance.
-	OperatorHandler func(config apiv1.Config, moves apiv1.Moves) http.Handler
+	OperatorHandler func(config apiv1.Config, moves apiv1.Moves, logger zerolog.Logger) http.Handler
 	// AnnounceAddr is the address at which the backend server on a node's machine announces itself to the node.
 	AnnounceAddr    string
 	AnnounceHandler func(n *node.Node) http.Handler
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -6,6 +6,8 @@
 type Entry struct {
 	// Route is the route of the call; calls of one route are expected to have similar latencies.
 	Route string
+	// Customer is the name of the customer that sent the call, empty if there is none.
+	Customer string
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// Objective is the time by which the response should arrive: the start of the call plus the route's latency objective.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -231,7 +231,7 @@
 // waitForSlot waits until the queue decides on the call or finishBy passes. If the decision is Run, the call holds a slot
 // of the returned queue.
 func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, server serverIncarnation, finishBy time.Time) (*Queue, Decision) {
-	entry := &Entry{Route: c.Route, Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
+	entry := &Entry{Route: c.Route, Customer: c.Customer, Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
 	g.mu.Lock()
 	queue := g.queue
 	now := g.options.Now()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireflow/internal/calls"
+	"samphireflow/internal/customer"
 	"samphireflow/internal/move/local"
 	"samphireflow/internal/routing"
 )
@@ -40,7 +41,12 @@
 		i.refuse(w, r, &dispatch{table: table, call: &calls.Call{ID: id}}, refused)
 		return
 	}
-	c, refused := i.newCall(table, route, r, arrived)
+	caller, refused := authenticate(table, route, r.Header, i.options.Headers)
+	if refused != nil {
+		i.refuse(w, r, &dispatch{table: table, call: &calls.Call{ID: id, Route: route.Config.Name}}, refused)
+		return
+	}
+	c, refused := i.newCall(table, route, caller, r, arrived)
 	if refused != nil {
 		i.refuse(w, r, &dispatch{table: table, call: &calls.Call{ID: id, Route: route.Config.Name}}, refused)
 		return
@@ -88,7 +94,7 @@
 }
 
 // newCall checks a request against the limits for callers and turns it into a call.
-func (i *Ingress) newCall(table *routing.Table, route *routing.Route, r *http.Request, arrived time.Time) (*calls.Call, *refusal) {
+func (i *Ingress) newCall(table *routing.Table, route *routing.Route, caller *customer.Customer, r *http.Request, arrived time.Time) (*calls.Call, *refusal) {
 	limits := table.CallerLimits
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, message: "the header is longer than the limit"}
@@ -110,6 +116,9 @@
 	}
 	header := calls.EndToEnd(r.Header)
 	header.Set(names.Caller, i.options.Service)
+	if limits.Authenticated {
+		replaceKey(header, caller, names)
+	}
 	c := &calls.Call{
 		ID:         r.Header.Get(names.RequestID),
 		Route:      route.Config.Name,
@@ -122,6 +131,12 @@
 		Objective:  arrived.Add(route.Settings.Objective),
 		Deadline:   arrived.Add(timeout),
 	}
+	if caller != nil {
+		c.Customer = caller.Name
+		if caller.HasPriority {
+			c.Priority = caller.Priority
+		}
+	}
 	body.AssignTo(c)
 	return c, nil
 }
@@ -145,7 +160,7 @@
 
 // logEvent returns the log event of a call without a successful response, with the fields that identify it.
 func (i *Ingress) logEvent(r *http.Request, d *dispatch) *zerolog.Event {
-	event := i.options.Logger.Info().Str("request_id", d.call.ID).Str("route", d.call.Route).Str("service", d.service).
+	event := i.options.Logger.Info().Str("request_id", d.call.ID).Str("customer", d.call.Customer).Str("route", d.call.Route).Str("service", d.service).
 		Str("peer", r.RemoteAddr).Str("method", r.Method).Str("host", r.Host).Str("target", r.RequestURI)
 	if d.table != nil {
 		event = event.Uint64("version", d.table.Snapshot.Version).Bool("late", d.late).Array("attempts", d.attempts)
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -16,6 +16,8 @@
 type Registry struct {
 	servers map[serverKey]*Server
 	routes  *routeSet
+	// customers are those of the last table.
+	customers *customerSet
 }
 
 // serverKey identifies one incarnation of a backend server. After a restart the backend server has another key, as has
@@ -36,6 +38,12 @@
 	return r.routes
 }
 
+// nextCustomers returns the customers of a snapshot and keeps them for the next build.
+func (r *Registry) nextCustomers(snap *apiv1.Snapshot) *customerSet {
+	r.customers = r.customers.next(snap.Customers)
+	return r.customers
+}
+
 // Update returns the servers with their load and statistics, and removes those of servers that are no longer listed.
 func (r *Registry) Update(servers []*apiv1.BackendServer) []*Server {
 	kept := make(map[serverKey]*Server, len(servers))
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -21,6 +21,10 @@
 	Attempts int
 	// Priority ranks calls when there is no room for all, 0 first.
 	Priority int
+	// Public is set if a call needs no key.
+	Public bool
+	// LongResponses is set if responses are so long that the link of an instance limits the calls.
+	LongResponses bool
 	// Split holds the services that share the calls. It is empty when all calls go to the service of the route.
 	Split tree.Split
 }
@@ -65,6 +69,11 @@
 	return i
 }
 
+func (v values) boolean(key string) bool {
+	b, _ := strconv.ParseBool(v[key])
+	return b
+}
+
 // split returns the parsed split of calls, nil when the setting is empty.
 func (v values) split(key string) tree.Split {
 	text := v[key]
@@ -83,6 +92,8 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout is the time after which an idle connection of a caller is closed.
 	IdleTimeout time.Duration
+	// Authenticated is set if calls need the key of a customer, but on public routes.
+	Authenticated bool
 }
 
 func parseCallerLimits(settings []*apiv1.Setting) CallerLimits {
@@ -92,6 +103,7 @@
 		BodyBytes:     int64(v.integer(tree.KeyCallerBodyBytes)),
 		HeaderTimeout: v.duration(tree.KeyCallerHeaderTimeout),
 		IdleTimeout:   v.duration(tree.KeyCallerIdleTimeout),
+		Authenticated: v.boolean(tree.KeyCallerAuthenticated),
 	}
 }
 
@@ -104,6 +116,8 @@
 		Objective:      v.duration(tree.KeyRouteObjective),
 		Attempts:       v.integer(tree.KeyRouteAttempts),
 		Priority:       v.integer(tree.KeyRoutePriority),
+		Public:         v.boolean(tree.KeyRoutePublic),
+		LongResponses:  v.boolean(tree.KeyRouteLongResponses),
 		Split:          v.split(tree.KeyRouteSplit),
 	}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/customer"
 )
 
 // Service is a service with parsed settings and the backend servers that may take its calls.
@@ -47,8 +48,10 @@
 	CallerLimits CallerLimits
 	// ServerCount is the number of announced backend servers, each of which has a node.
 	ServerCount int
-	services    map[string]*Service
-	routes      *routeSet
+	// Customers holds the customers, by whose keys callers authenticate.
+	Customers *customer.Directory
+	services  map[string]*Service
+	routes    *routeSet
 	// nodeAddrs holds the control addresses that NodeAddrs returns.
 	nodeAddrs []string
 }
@@ -64,6 +67,7 @@
 		t.services[config.Name] = service
 	}
 	t.routes = registry.nextRoutes(snap)
+	t.Customers = registry.nextCustomers(snap).directory
 	t.CallerLimits = parseCallerLimits(snap.Settings)
 	t.nodeAddrs = controlAddrs(servers)
 	return t
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,17 @@
 	// number of further retries that they may send at once. Zero selects the defaults.
 	RetryRatio float64 `validate:"gte=0,lte=1" flag:"retry-ratio"`
 	RetrySlack float64 `validate:"gte=0" flag:"retry-slack"`
+	// QuotaWindow is the time over which the calls of a customer are compared with its quota, QuotaOverrun the share of it and
+	// QuotaSlack the number of calls by which all nodes together may exceed it. A window of 0 selects the default.
+	QuotaWindow  time.Duration `validate:"gte=0" flag:"quota-window"`
+	QuotaOverrun float64       `validate:"gte=0,lte=1" flag:"quota-overrun"`
+	QuotaSlack   float64       `validate:"gte=0" flag:"quota-slack"`
+	// ColdOverrun is the factor and ColdSlack the number of calls per second by which a cold backend server may get more than
+	// its configured pace. Zero allows no more.
+	ColdOverrun float64 `validate:"gte=0" flag:"cold-overrun"`
+	ColdSlack   float64 `validate:"gte=0" flag:"cold-slack"`
+	// LinkMbps is the capacity of the network link of this instance in Mbit/s. Zero means that it is not known.
+	LinkMbps float64 `validate:"gte=0" flag:"link-mbps"`
 	// MemoryLimitMB is the memory in MB above which the process is killed from outside. Zero means that there is no limit.
 	MemoryLimitMB int `validate:"gte=0" flag:"memory-limit"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
@@ -140,6 +151,12 @@
 	flags.DurationVar(&s.StaleAge, "stale-age", 0, "age of news above which a node looks for another control instance; 0 for the default (node)")
 	flags.DurationVar(&s.FloorTimeout, "floor-patience", 0, "longest wait of a started node for the newest version that it may have applied; 0 for no bound (node)")
 	flags.DurationVar(&s.ShutdownTimeout, "stop-time", 0, "time in which a stopping process must have ended; 0 for the default")
+	flags.DurationVar(&s.QuotaWindow, "quota-window", 0, "time over which the calls of a customer are compared with its quota; 0 for the default (node)")
+	flags.Float64Var(&s.QuotaOverrun, "quota-overrun", 0, "share by which all nodes together may exceed the quota of a customer, 0 to 1 (node)")
+	flags.Float64Var(&s.QuotaSlack, "quota-slack", 0, "calls by which all nodes together may exceed the quota of a customer in a window (node)")
+	flags.Float64Var(&s.ColdOverrun, "cold-overrun", 0, "factor by which a cold backend server may get more than its pace; 0 for none (node)")
+	flags.Float64Var(&s.ColdSlack, "cold-slack", 0, "calls a second that a cold backend server may get beyond its pace (node)")
+	flags.Float64Var(&s.LinkMbps, "link-mbps", 0, "capacity of the link of this instance in Mbit/s; 0 if it is not known (node)")
 	flags.Float64Var(&s.RetryRatio, "retry-ratio", 0, "ratio of retries to the calls of a service, over all nodes with a gate, 0 to 1; 0 for the default (node)")
 	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
 	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the process is killed from outside; 0 for none")
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -74,6 +74,10 @@
 	return &apiv1.ResourceConfig{Name: path.Resource, Settings: resolveSettings(settings.Scope(path), resourceKeys)}
 }
 
+func buildCustomer(settings *tree.Tree, path tree.Path) *apiv1.CustomerConfig {
+	return &apiv1.CustomerConfig{Name: path.Customer, Settings: resolveSettings(settings.Scope(path), customerKeys)}
+}
+
 // Keys of the settings that nodes use, by the entity whose configuration holds them.
 var (
 	serviceKeys = []string{
@@ -85,10 +89,12 @@
 	// hostRouteKeys are the additional keys of a route that is matched by host and path prefix.
 	hostRouteKeys = []string{
 		tree.KeyRouteHost, tree.KeyRoutePrefix, tree.KeyRouteSplit, tree.KeyRouteAttempts, tree.KeyRoutePriority, tree.KeyRouteObjective,
+		tree.KeyRoutePublic, tree.KeyRouteLongResponses,
 	}
 	// callerKeys are the keys of the snapshot itself, which limit the requests of callers.
-	callerKeys   = []string{tree.KeyCallerHeaderBytes, tree.KeyCallerBodyBytes, tree.KeyCallerHeaderTimeout, tree.KeyCallerIdleTimeout}
+	callerKeys   = []string{tree.KeyCallerHeaderBytes, tree.KeyCallerBodyBytes, tree.KeyCallerHeaderTimeout, tree.KeyCallerIdleTimeout, tree.KeyCallerAuthenticated}
 	resourceKeys = []string{tree.KeyResourceCallsRate, tree.KeyResourceBurst}
+	customerKeys = []string{tree.KeyCustomerKeyDigests, tree.KeyCustomerPriority, tree.KeyCustomerRate, tree.KeyCustomerBurst}
 	// inheritedRouteKeys are the keys of a route's configuration that its ancestors can set.
 	inheritedRouteKeys = slices.Concat(routeKeys, hostRouteKeys, []string{tree.KeyRouteIdempotent, tree.KeyRateLimit})
 )
--- a/internal/snapshot/builder.go
+++ b/internal/snapshot/builder.go
@@ -40,10 +40,15 @@
 	for _, branch := range view.Tree.AtLevel(tree.LevelResource) {
 		snap.Resources = append(snap.Resources, buildResource(view.Tree, branch.Path))
 	}
+	for _, branch := range view.Tree.AtLevel(tree.LevelCustomer) {
+		snap.Customers = append(snap.Customers, buildCustomer(view.Tree, branch.Path))
+	}
 	sortEntities(snap.Services)
 	sortEntities(snap.Resources)
+	sortEntities(snap.Customers)
 	snap.Services = shareUnchangedEntities(b.snap.Services, snap.Services)
 	snap.Resources = shareUnchangedEntities(b.snap.Resources, snap.Resources)
+	snap.Customers = shareUnchangedEntities(b.snap.Customers, snap.Customers)
 	snap.Routes = shareUnchangedEntities(b.snap.Routes, b.buildRoutes(view.Tree))
 	snap.Assignments = assignmentsFor(view, b.failureDomain)
 	global := view.Tree.Scope(tree.Path{Level: tree.LevelGlobal}.ForSite(b.failureDomain))
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -10,7 +10,7 @@
 	apiv1 "samphireflow/api/v1"
 )
 
-// entity is a named part of a snapshot: a service, a route or a resource.
+// entity is a named part of a snapshot: a service, a route, a resource or a customer.
 type entity interface {
 	proto.Message
 	GetName() string
@@ -23,8 +23,10 @@
 	delta.Services, delta.RemovedServices = diffEntities(from.Services, to.Services)
 	delta.Routes, delta.RemovedRoutes = diffEntities(from.Routes, to.Routes)
 	delta.Resources, delta.RemovedResources = diffEntities(from.Resources, to.Resources)
+	delta.Customers, delta.RemovedCustomers = diffEntities(from.Customers, to.Customers)
 	delta.Assignments = diffAssignments(from.Assignments, to.Assignments)
 	delta.Settings = to.Settings
+	delta.EvacuatedDomains = to.EvacuatedDomains
 	return delta
 }
 
@@ -93,9 +95,12 @@
 		Services:      applyEntities(from.Services, delta.Services, delta.RemovedServices),
 		Routes:        applyEntities(from.Routes, delta.Routes, delta.RemovedRoutes),
 		Resources:     applyEntities(from.Resources, delta.Resources, delta.RemovedResources),
+		Customers:     applyEntities(from.Customers, delta.Customers, delta.RemovedCustomers),
 		Assignments:   applyAssignments(from.Assignments, delta.Assignments),
 		Settings:      delta.Settings,
 		Digest:        delta.Digest,
+
+		EvacuatedDomains: delta.EvacuatedDomains,
 	}
 	return next, d.Check(next)
 }
@@ -126,10 +131,11 @@
 // ShareUnchanged returns a copy of the later of two snapshots that shares the unchanged entities with the earlier one,
 // so that many versions in memory take little more space than one.
 func ShareUnchanged(from, to *apiv1.Snapshot) *apiv1.Snapshot {
-	shared := &apiv1.Snapshot{Version: to.Version, Term: to.Term, FailureDomain: to.FailureDomain, Assignments: to.Assignments, Settings: to.Settings, Digest: to.Digest}
+	shared := &apiv1.Snapshot{Version: to.Version, Term: to.Term, FailureDomain: to.FailureDomain, Assignments: to.Assignments, Settings: to.Settings, Digest: to.Digest, EvacuatedDomains: to.EvacuatedDomains}
 	shared.Services = shareUnchangedEntities(from.Services, to.Services)
 	shared.Routes = shareUnchangedEntities(from.Routes, to.Routes)
 	shared.Resources = shareUnchangedEntities(from.Resources, to.Resources)
+	shared.Customers = shareUnchangedEntities(from.Customers, to.Customers)
 	return shared
 }
 
@@ -162,6 +168,7 @@
 		changedEntityBytes(from.Services, to.Services),
 		changedEntityBytes(from.Routes, to.Routes),
 		changedEntityBytes(from.Resources, to.Resources),
+		changedEntityBytes(from.Customers, to.Customers),
 	} {
 		added += sizes[0]
 		removed += sizes[1]
--- a/internal/snapshot/digest.go
+++ b/internal/snapshot/digest.go
@@ -22,14 +22,14 @@
 
 // Digest returns the same as the function Digest.
 func (d *Digester) Digest(snap *apiv1.Snapshot) uint64 {
-	entities := len(snap.Services) + len(snap.Routes) + len(snap.Resources)
+	entities := len(snap.Services) + len(snap.Routes) + len(snap.Resources) + len(snap.Customers)
 	// Starts over once more than half of the encodings belong to entities of older versions.
 	if d.encodings == nil || len(d.encodings) > 2*entities+minKeptEncodings {
 		d.encodings = make(map[proto.Message][]byte, entities)
 	}
 	hash := xxhash.New()
 	add := func(encoding []byte) { _, _ = hash.Write(encoding) }
-	add(encode(&apiv1.Snapshot{Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain, Settings: snap.Settings}))
+	add(encode(&apiv1.Snapshot{Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain, Settings: snap.Settings, EvacuatedDomains: snap.EvacuatedDomains}))
 	for _, service := range snap.Services {
 		add(d.encoding(service))
 	}
@@ -39,6 +39,9 @@
 	for _, resource := range snap.Resources {
 		add(d.encoding(resource))
 	}
+	for _, customer := range snap.Customers {
+		add(d.encoding(customer))
+	}
 	for _, assignment := range snap.Assignments {
 		add(encode(assignment))
 	}
--- a/internal/snapshot/filter.go
+++ b/internal/snapshot/filter.go
@@ -28,7 +28,8 @@
 	needed := f.Closure(snap)
 	part := &apiv1.Snapshot{
 		Version: snap.Version, Term: snap.Term, FailureDomain: snap.FailureDomain,
-		Assignments: snap.Assignments, Settings: snap.Settings,
+		Customers: snap.Customers, Assignments: snap.Assignments, Settings: snap.Settings,
+		EvacuatedDomains: snap.EvacuatedDomains,
 	}
 	for _, service := range snap.Services {
 		if needed[service.Name] {
--- /dev/null
+++ b/internal/tree/digests.go
@@ -0,0 +1,31 @@
+package tree
+
+import (
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// digestBytes is the length of the digest of a key: SHA-256, truncated to 128 bits.
+const digestBytes = 16
+
+// maxDigests bounds the keys of one customer.
+const maxDigests = 1024
+
+// ParseDigests parses a list of digests of keys and returns them sorted, each once. Each has 32 hexadecimal digits.
+func ParseDigests(text string) ([]string, error) {
+	digests := strings.Fields(strings.ToLower(text))
+	for _, digest := range digests {
+		if raw, err := hex.DecodeString(digest); err != nil || len(raw) != digestBytes {
+			return nil, errors.Errorf("%q is not a digest of %d hexadecimal digits", digest, 2*digestBytes)
+		}
+	}
+	slices.Sort(digests)
+	digests = slices.Compact(digests)
+	if len(digests) > maxDigests {
+		return nil, errors.Errorf("%d keys are more than the %d that a customer may have", len(digests), maxDigests)
+	}
+	return digests, nil
+}
--- a/internal/tree/edit.go
+++ b/internal/tree/edit.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 
 	apiv1 "samphireflow/api/v1"
 )
@@ -150,14 +151,17 @@
 }
 
 // referenceFaults checks the rules across branches: the parent of each branch exists, references name existing services
-// and resources, and routes are complete and do not match the same calls.
+// and resources, routes are complete and do not match the same calls, and no two customers have the same key.
 func (t *Tree) referenceFaults() []*apiv1.Fault {
 	var faults []*apiv1.Fault
-	routes := map[string]string{}
+	routes, keys := map[string]string{}, map[string]string{}
 	for _, branch := range t.Branches() {
 		faults = append(faults, t.branchReferenceFaults(branch)...)
-		if branch.Path.Level == LevelRoute {
+		switch branch.Path.Level {
+		case LevelRoute:
 			faults = append(faults, routeFaults(branch, routes)...)
+		case LevelCustomer:
+			faults = append(faults, customerFaults(branch, keys)...)
 		}
 	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
@@ -222,6 +226,20 @@
 	return nil
 }
 
+// customerFaults checks that no other customer has a key of this one. It records the keys in seen.
+func customerFaults(branch *Branch, seen map[string]string) []*apiv1.Fault {
+	var faults []*apiv1.Fault
+	path := branch.Path.String()
+	text, _ := branch.Get(KeyCustomerKeyDigests)
+	for _, digest := range strings.Fields(text) {
+		if other, ok := seen[digest]; ok {
+			faults = append(faults, &apiv1.Fault{Path: path, Key: KeyCustomerKeyDigests, Message: "has a key of " + other})
+		}
+		seen[digest] = path
+	}
+	return faults
+}
+
 // routeFaults checks that a route defines which calls it matches, by method and path or by host and prefix, and that no
 // other route has the same definition. It records the definition in seen.
 func routeFaults(branch *Branch, seen map[string]string) []*apiv1.Fault {
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -20,9 +20,11 @@
 	LevelRouteSite
 	// LevelResource does not take part in inheritance: a resource has only its own settings.
 	LevelResource
+	// LevelCustomer does not take part in inheritance either.
+	LevelCustomer
 )
 
-// maxNameLength is the maximum length of the name of a service, route, site or resource, in bytes.
+// maxNameLength is the maximum length of the name of a service, route, site, resource or customer, in bytes.
 const maxNameLength = 63
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
@@ -30,13 +32,14 @@
 // Path identifies one branch of the tree.
 //
 // The text forms are "/", "/sites/S", "/services/V", "/services/V/sites/S", "/services/V/routes/R",
-// "/services/V/routes/R/sites/S" and "/resources/N".
+// "/services/V/routes/R/sites/S", "/resources/N" and "/customers/C".
 type Path struct {
 	Level    Level
 	Site     string
 	Service  string
 	Route    string
 	Resource string
+	Customer string
 }
 
 // ErrBadPath is wrapped by errors about text that is not a branch path.
@@ -83,6 +86,8 @@
 		p.Route = name
 	case "resources":
 		p.Resource = name
+	case "customers":
+		p.Customer = name
 	}
 }
 
@@ -100,6 +105,8 @@
 		return LevelRouteSite, true
 	case "resources":
 		return LevelResource, true
+	case "customers":
+		return LevelCustomer, true
 	}
 	return 0, false
 }
@@ -119,6 +126,8 @@
 		return "/services/" + p.Service + "/routes/" + p.Route + "/sites/" + p.Site
 	case LevelResource:
 		return "/resources/" + p.Resource
+	case LevelCustomer:
+		return "/customers/" + p.Customer
 	}
 	return "/"
 }
@@ -126,7 +135,7 @@
 // Lineage returns the paths whose settings apply at p, from the least to the most specific. If p has no site, the list
 // includes no site branches.
 func (p Path) Lineage() []Path {
-	if p.Level == LevelResource {
+	if p.Level == LevelResource || p.Level == LevelCustomer {
 		return []Path{p}
 	}
 	lineage := []Path{{Level: LevelGlobal}}
@@ -151,7 +160,8 @@
 }
 
 // parent returns the path of the branch that must exist before p: the service of a route, or the service or route that
-// a site branch overrides. Global, site, service and resource branches have no parent.
+// a site branch overrides. Global, site, service, resource and customer branches have no
+// parent.
 func (p Path) parent() (Path, bool) {
 	switch p.Level {
 	case LevelServiceSite, LevelRoute:
--- a/internal/tree/replace.go
+++ b/internal/tree/replace.go
@@ -7,8 +7,8 @@
 	apiv1 "samphireflow/api/v1"
 )
 
-// ReplaceServices returns the edits that replace the services and routes of the tree by the wanted ones and set the
-// wanted global settings. Site and resource branches, other global settings and the versions of services stay as they
+// ReplaceServices returns the edits that replace the services, routes and customers of the tree by the wanted ones and set
+// the wanted global settings. Site and resource branches, other global settings and the versions of services stay as they
 // are. Unchanged branches need no edit and are omitted.
 func (t *Tree) ReplaceServices(wanted []*apiv1.Branch) ([]*apiv1.BranchEdit, []*apiv1.Fault) {
 	var edits []*apiv1.BranchEdit
@@ -44,7 +44,7 @@
 			edit.Changes = append(edit.Changes, &apiv1.Change{Key: setting.Key, Value: setting.Value})
 		}
 	}
-	if current != nil && path.Level != LevelGlobal {
+	if current != nil {
 		edit.Changes = append(edit.Changes, current.unsetOthers(wanted.Settings)...)
 	}
 	if current != nil && len(edit.Changes) == 0 {
@@ -53,11 +53,12 @@
 	return edit
 }
 
-// unsetOthers returns the changes that unset all keys that are not wanted, sorted by key. The version of a service stays.
+// unsetOthers returns the changes that unset all keys that are not wanted, sorted by key. The version of a service stays, and
+// so do global settings, except that callers must present keys only while the wanted customers come with that setting.
 func (b *Branch) unsetOthers(wanted []*apiv1.Setting) []*apiv1.Change {
 	var changes []*apiv1.Change
 	for key := range b.values {
-		kept := key == KeyServiceVersion || slices.ContainsFunc(wanted, func(s *apiv1.Setting) bool { return s.Key == key })
+		kept := key == KeyServiceVersion || b.Path.Level == LevelGlobal && key != KeyCallerAuthenticated || slices.ContainsFunc(wanted, func(s *apiv1.Setting) bool { return s.Key == key })
 		if !kept {
 			changes = append(changes, &apiv1.Change{Key: key, Unset: true})
 		}
@@ -79,15 +80,15 @@
 	return err == nil && text == canonical
 }
 
-// removeUnlisted returns the edits that remove the services and routes that are not listed. Removing a service also
-// removes its routes.
+// removeUnlisted returns the edits that remove the services, routes and customers that are not listed. Removing a service
+// also removes its routes.
 func (t *Tree) removeUnlisted(listed map[Path]bool) []*apiv1.BranchEdit {
 	var edits []*apiv1.BranchEdit
 	for path, branch := range t.branches {
 		service := Path{Level: LevelService, Service: path.Service}
-		isService := path.Level == LevelService
+		isOwnBranch := path.Level == LevelService || path.Level == LevelCustomer
 		isRouteOfListedService := path.Level == LevelRoute && listed[service]
-		if (isService || isRouteOfListedService) && !listed[path] {
+		if (isOwnBranch || isRouteOfListedService) && !listed[path] {
 			edits = append(edits, &apiv1.BranchEdit{Path: path.String(), BaseVersion: branch.Version, Remove: true})
 		}
 	}
--- a/internal/tree/schema.go
+++ b/internal/tree/schema.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,8 @@
 	// KindSplit is a list of services with weights, for example "rota=90,rota-next=10". The services must exist in the
 	// tree.
 	KindSplit
+	// KindDigests is a list of digests of keys, in hexadecimal digits and separated by spaces. It may be empty.
+	KindDigests
 )
 
 // Spec is the schema of one setting.
@@ -37,7 +40,8 @@
 	Min, Max float64
 	// Choices lists the valid values of a KindChoice setting.
 	Choices []string
-	// Levels lists the levels at which the key may be set. Nil allows every level except LevelResource.
+	// Levels lists the levels at which the key may be set. Nil allows every level except LevelResource and
+	// LevelCustomer.
 	Levels []Level
 	// Help is a one-line description for operators.
 	Help string
@@ -82,6 +86,13 @@
 	KeyMoveThinEvidence    = "move.thin-evidence"
 	KeyResourceCallsRate   = "resource.calls-per-second"
 	KeyResourceBurst       = "resource.burst"
+	KeyRoutePublic         = "route.public"
+	KeyRouteLongResponses  = "route.long-responses"
+	KeyCallerAuthenticated = "caller.authenticated"
+	KeyCustomerKeyDigests  = "customer.key-digests"
+	KeyCustomerPriority    = "customer.priority"
+	KeyCustomerRate        = "customer.calls-per-second"
+	KeyCustomerBurst       = "customer.burst"
 	KeyNote                = "note"
 )
 
@@ -94,6 +105,8 @@
 const (
 	serviceOnly = LevelService
 	routeOnly   = LevelRoute
+	// customerOnly is the level of what is known of a customer.
+	customerOnly = LevelCustomer
 )
 
 var specs = []Spec{
@@ -134,7 +147,14 @@
 	{Key: KeyMoveThinEvidence, Kind: KindChoice, Default: ThinEvidenceTakeBack, Choices: []string{ThinEvidenceAdvance, ThinEvidenceTakeBack}, Help: "what happens at the deadline of a move with too little evidence"},
 	{Key: KeyResourceCallsRate, Kind: KindFloat, Min: 0.1, Max: 1e6, Levels: []Level{LevelResource}, Help: "calls a second that a node may send"},
 	{Key: KeyResourceBurst, Kind: KindInt, Default: "10", Min: 1, Max: 1e6, Levels: []Level{LevelResource}, Help: "calls that may come at once"},
-	{Key: KeyNote, Kind: KindText, Levels: []Level{LevelGlobal, LevelSite, LevelService, LevelServiceSite, LevelRoute, LevelRouteSite, LevelResource}, Help: "free text for operators"},
+	{Key: KeyRoutePublic, Kind: KindBool, Levels: []Level{routeOnly}, Help: "whether a call needs no key"},
+	{Key: KeyRouteLongResponses, Kind: KindBool, Levels: []Level{routeOnly}, Help: "whether responses are long, so that the link of an instance limits the calls"},
+	{Key: KeyCallerAuthenticated, Kind: KindBool, Levels: []Level{LevelGlobal}, Help: "whether calls need the key of a customer, but on public routes"},
+	{Key: KeyCustomerKeyDigests, Kind: KindDigests, Levels: []Level{customerOnly}, Help: "digests of the customer's keys"},
+	{Key: KeyCustomerPriority, Kind: KindInt, Min: 0, Max: 100, Levels: []Level{customerOnly}, Help: "rank of the customer's calls, in place of that of the route"},
+	{Key: KeyCustomerRate, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{customerOnly}, Help: "calls a second that the customer may send to all nodes together, 0 for no limit"},
+	{Key: KeyCustomerBurst, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{customerOnly}, Help: "calls that the customer may send at once beyond the rate"},
+	{Key: KeyNote, Kind: KindText, Levels: []Level{LevelGlobal, LevelSite, LevelService, LevelServiceSite, LevelRoute, LevelRouteSite, LevelResource, LevelCustomer}, Help: "free text for operators"},
 }
 
 var specByKey = indexSpecs(specs)
@@ -164,7 +184,7 @@
 // allowedAt reports whether the key may be set at a level.
 func (s *Spec) allowedAt(level Level) bool {
 	if s.Levels == nil {
-		return level != LevelResource
+		return level != LevelResource && level != LevelCustomer
 	}
 	for _, allowed := range s.Levels {
 		if allowed == level {
@@ -209,6 +229,9 @@
 	case KindSplit:
 		split, err := ParseSplit(value)
 		return split.String(), err
+	case KindDigests:
+		digests, err := ParseDigests(value)
+		return strings.Join(digests, " "), err
 	case KindServiceRef, KindResourceRef:
 		if !validName(value) {
 			return "", errors.Errorf("%q is not a name", value)
