Divide the slots of a backend server fairly between customers

Cause: the gates order waiting calls by objective and priority; a customer at five times its usual rate pushed out the others. Change: a gate counts the recent work of each customer. Within a priority, customers within their share go first, and a customer over its share is refused at once while one within its share waits, with the time after which it is back.

--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -56,7 +56,7 @@
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
-			LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+			LocalServer: n.LocalServer, Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
@@ -79,6 +79,21 @@
 	return g
 }
 
+// customerWeight returns the function that weighs customers by their configured rates.
+func customerWeight(n *node.Node) func(name string) float64 {
+	return func(name string) float64 {
+		table := n.Table()
+		if table == nil {
+			return 0
+		}
+		customer := table.Customers.ByName(name)
+		if customer == nil {
+			return 0
+		}
+		return customer.Rate
+	}
+}
+
 // register mounts the twirp service that other nodes and the platform call.
 func (g *gatedTraffic) register(mux *http.ServeMux) {
 	service := apiv1.NewTrafficServer(g.service)
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -8,6 +8,8 @@
 	Route string
 	// Customer is the name of the customer that sent the call, empty if there is none.
 	Customer string
+	// Weight is the weight of the customer when there is no room for the calls of all customers, 0 for the mean weight.
+	Weight float64
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// Objective is the time by which the response should arrive: the start of the call plus the route's latency objective.
@@ -17,6 +19,8 @@
 	// Deadline is the time after which the response is useless.
 	Deadline time.Time
 
+	// overShare is set if the customer had more than its share of the backend server when the call arrived.
+	overShare bool
 	// sequence numbers the calls in order of arrival.
 	sequence uint64
 	// decision receives the queue's decision on a waiting call.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -35,6 +35,9 @@
 	// LocalServer returns the current announcement of the backend server on this machine, nil if there is none.
 	LocalServer func() *apiv1.BackendServer
 	Headers     calls.Headers
+	// CustomerWeight returns the weight of a customer when customers compete for slots, 0 if it has none; nil gives all
+	// customers the same weight.
+	CustomerWeight func(customer string) float64
 	// Recorder counts the outcomes of the calls that were sent to the backend server.
 	Recorder Recorder
 	// Stop decides which calls of other nodes are taken during a planned stop of this node; nil takes all.
@@ -231,7 +234,7 @@
 // waitForSlot waits until the queue decides on the call or finishBy passes. If the decision is Run, the call holds a slot
 // of the returned queue.
 func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, server serverIncarnation, finishBy time.Time) (*Queue, Decision) {
-	entry := &Entry{Route: c.Route, Customer: c.Customer, Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
+	entry := &Entry{Route: c.Route, Customer: c.Customer, Weight: g.customerWeight(c.Customer), Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
 	g.mu.Lock()
 	queue := g.queue
 	now := g.options.Now()
@@ -257,6 +260,14 @@
 	return queue, <-entry.decision
 }
 
+// customerWeight returns the weight of a customer, 0 if it has none.
+func (g *Gate) customerWeight(name string) float64 {
+	if name == "" || g.options.CustomerWeight == nil {
+		return 0
+	}
+	return g.options.CustomerWeight(name)
+}
+
 // queueRefusal returns the result of a call that got no slot.
 func (g *Gate) queueRefusal(ctx context.Context, decision Decision) *calls.Result {
 	if ctx.Err() != nil {
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 )
 
@@ -28,11 +29,12 @@
 	waiting      []*Entry
 	lastSequence uint64
 	latencies    *LatencyMeans
+	customers    *CustomerShares
 }
 
 // NewQueue returns an empty queue with the given number of slots, at least one.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: max(slots, 1), latencies: NewLatencyMeans()}
+	return &Queue{slots: max(slots, 1), latencies: NewLatencyMeans(), customers: NewCustomerShares()}
 }
 
 // Running returns the number of calls in flight at the backend server.
@@ -46,14 +48,21 @@
 
 // Admit decides on a new call: it runs if a slot is free, waits if fewer than maxWaiting calls wait and it is expected to
 // finish by its FinishBy, and is refused otherwise. Without a free slot, a call that is expected to miss its objective is
-// also refused while a call that can still meet its objective waits.
+// also refused while a call that can still meet its objective waits, and a call of a customer that is over its share while one
+// of another customer of the same or a higher priority waits that is not.
 func (q *Queue) Admit(e *Entry, now time.Time) Decision {
 	q.lastSequence++
 	e.sequence = q.lastSequence
 	if q.running < q.slots {
-		q.running++
+		q.start(e, now)
 		return Decision{Action: Run}
 	}
+	if e.Customer != "" {
+		e.overShare = q.customers.Excess(e.Customer, now) > 0
+	}
+	if e.overShare && q.hasWaiterWithinShare(e.Priority) {
+		return Decision{Action: Refuse, RetryAfter: max(q.customers.TimeToShare(e.Customer, now), minRetryAfter)}
+	}
 	if q.missesObjective(e, now) && q.hasTimelyWaiter(now) {
 		return Decision{Action: Refuse, RetryAfter: max(q.expectedWait(len(q.waiting)), minRetryAfter)}
 	}
@@ -92,11 +101,22 @@
 			e.decision <- Decision{Action: Refuse, RetryAfter: minRetryAfter}
 			continue
 		}
-		q.running++
+		q.start(e, now)
 		e.decision <- Decision{Action: Run}
 	}
 }
 
+// start occupies a slot with a call.
+func (q *Queue) start(e *Entry, now time.Time) {
+	q.running++
+	q.customers.Charge(e.Customer, e.Weight, q.latencies.ForRoute(e.Route), now)
+}
+
+// hasWaiterWithinShare reports whether a call of the given or a higher priority waits whose customer is within its share.
+func (q *Queue) hasWaiterWithinShare(priority int) bool {
+	return slices.ContainsFunc(q.waiting, func(e *Entry) bool { return !e.overShare && e.Priority <= priority })
+}
+
 // popFirst removes and returns the waiting call that runs next.
 func (q *Queue) popFirst(now time.Time) *Entry {
 	first := 0
@@ -118,7 +138,7 @@
 }
 
 // runsBefore reports whether call a runs before call b. Calls that can meet their objective come first; then priority,
-// objective and order of arrival decide.
+// whether the customer is within its share, objective and order of arrival decide.
 func (q *Queue) runsBefore(a, b *Entry, now time.Time) bool {
 	aLate, bLate := q.missesObjective(a, now), q.missesObjective(b, now)
 	switch {
@@ -126,6 +146,8 @@
 		return bLate
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	case a.overShare != b.overShare:
+		return b.overShare
 	case !a.Objective.Equal(b.Objective):
 		return a.Objective.Before(b.Objective)
 	}
