Evacuation of a failure domain, and a pace for cold backend servers

Change: an evacuation is a setting of the failure domain's branch, given and withdrawn by a service, the platform's calls and the command line, with compare-and-set so that an overtaken copy of an order does not undo a later one. Nodes leave the backend servers of those failure domains out, gates there refuse. The gate beside a cold backend server counts its calls in a sliding second; it believes heartbeats, responses, refused connections and the end of an evacuation. Placement avoids cold ones while the others keep to the objective. Both act only where an order or a service's rate asks for it.

--- a/api/v1/membership.twirp.go
+++ b/api/v1/membership.twirp.go
@@ -1063,7 +1063,7 @@
 }
 
 func (s *membershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *membershipServer) ProtocGenTwirpVersion() string {
@@ -1839,7 +1839,7 @@
 }
 
 func (s *relayServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 1
+	return twirpFileDescriptor5, 1
 }
 
 func (s *relayServer) ProtocGenTwirpVersion() string {
@@ -2613,7 +2613,7 @@
 }
 
 func (s *inspectServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 2
+	return twirpFileDescriptor5, 2
 }
 
 func (s *inspectServer) ProtocGenTwirpVersion() string {
@@ -3108,7 +3108,7 @@
 }
 
 func (s *statusServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 3
+	return twirpFileDescriptor5, 3
 }
 
 func (s *statusServer) ProtocGenTwirpVersion() string {
@@ -3122,7 +3122,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Status")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 1464 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x57, 0xc1, 0x6f, 0xdb, 0xb6,
 	0x17, 0x86, 0x6d, 0xd9, 0x96, 0x9f, 0xed, 0x38, 0xe5, 0x2f, 0xbf, 0xce, 0x71, 0x9b, 0xc6, 0x55,
--- a/api/v1/move.twirp.go
+++ b/api/v1/move.twirp.go
@@ -1341,7 +1341,7 @@
 }
 
 func (s *movesServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *movesServer) ProtocGenTwirpVersion() string {
@@ -1355,7 +1355,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Moves")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 1014 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0x4d, 0x73, 0xdb, 0x36,
 	0x10, 0x2d, 0xf5, 0xad, 0xd5, 0x37, 0x9c, 0xd8, 0xb4, 0x52, 0xb7, 0x0a, 0xdb, 0xa4, 0x4a, 0x3a,
--- a/cmd/samphireflowd/main.go
+++ b/cmd/samphireflowd/main.go
@@ -82,8 +82,8 @@
 func newPlatformOptions(processConfig *platform.ProcessConfig) daemon.PlatformOptions {
 	return daemon.PlatformOptions{
 		Headers: platform.Headers(),
-		OperatorHandler: func(config apiv1.Config, moves apiv1.Moves, logger zerolog.Logger) http.Handler {
-			return platform.OperatorHandler(platform.ControlServices{Config: config, Moves: moves, Logger: logger})
+		OperatorHandler: func(config apiv1.Config, moves apiv1.Moves, evacuations apiv1.Evacuations, logger zerolog.Logger) http.Handler {
+			return platform.OperatorHandler(platform.ControlServices{Config: config, Moves: moves, Evacuations: evacuations, Logger: logger})
 		},
 		AnnounceAddr:    processConfig.AnnounceAddr,
 		AnnounceHandler: func(n *node.Node) http.Handler { return platform.AnnouncementHandler(n) },
--- a/internal/calls/headers.go
+++ b/internal/calls/headers.go
@@ -30,6 +30,9 @@
 	// Stamp is set in every response that comes from a backend server itself. It is empty if the deployment's backend
 	// servers set no such field.
 	Stamp string
+	// ColdMs is the time in milliseconds for which a backend server is still cold. It is empty if the deployment's backend
+	// servers set no such field.
+	ColdMs string
 }
 
 // DefaultHeaders returns the names that are used unless the platform has others.
--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -26,6 +26,10 @@
 	ReasonFull Reason = "full"
 	// ReasonDraining means that the backend server is draining.
 	ReasonDraining Reason = "draining"
+	// ReasonCold means that the backend server is cold and has got as many calls in the last second as it can take.
+	ReasonCold Reason = "cold"
+	// ReasonEvacuated means that the failure domain of the backend server is evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonMisdirected means that the call reached another backend server or a node without one, or could not be read.
 	ReasonMisdirected Reason = "misdirected"
 	// ReasonUnreachable means that no connection could be opened.
--- a/internal/cli/endpoint.go
+++ b/internal/cli/endpoint.go
@@ -11,6 +11,7 @@
 	address        string
 	config         apiv1.Config
 	moves          apiv1.Moves
+	evacuations    apiv1.Evacuations
 	members        apiv1.Membership
 	status         apiv1.Status
 	inspect        apiv1.Inspect
@@ -27,6 +28,7 @@
 		status:  apiv1.NewStatusProtobufClient(base, client),
 		inspect: apiv1.NewInspectProtobufClient(base, client),
 
+		evacuations:    apiv1.NewEvacuationsProtobufClient(base, client),
 		controlMembers: apiv1.NewControlMembersProtobufClient(base, client),
 	}
 }
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -34,7 +34,7 @@
 	return []subcommands.Command{
 		showCommand(s), setCommand(s), unsetCommand(s), applyCommand(s), diffCommand(s), explainCommand(s),
 		historyCommand(s), revertCommand(s),
-		moveCommands(s),
+		moveCommands(s), evacuationCommands(s),
 		instancesCommand(s), servicesCommand(s), statusCommand(s),
 		nodeCommands(s),
 		controlMembersCommands(s), dataCommands(s), logsCommands(s),
--- a/internal/control/departure_loop.go
+++ b/internal/control/departure_loop.go
@@ -11,11 +11,12 @@
 const departureInterval = time.Second
 
 // departureLoop stores the departures that this instance has learned from others. Those that its own nodes announce are stored
-// before they are confirmed.
+// before they are confirmed. It also records the failure domains of the members, which outlast their leases.
 func (s *Server) departureLoop(ctx context.Context) error {
 	return periodic.Run(ctx, departureInterval, func(time.Time) {
 		// A failure is logged, and the next run tries again.
 		_ = s.saveDepartures()
+		s.learnDomains()
 	})
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -66,6 +66,7 @@
 	started    time.Time
 	// departuresFailing is set while departures cannot be stored.
 	departuresFailing atomic.Bool
+	domains           *knownDomains
 	now               func() time.Time
 }
 
@@ -91,6 +92,7 @@
 		client:             client,
 		peerClient:         peerClient,
 		started:            started,
+		domains:            newKnownDomains(),
 		// Only the monotonic clock counts after the start, so that steps of the wall clock have no effect.
 		now: func() time.Time { return started.Add(time.Since(started)) },
 	}
@@ -132,6 +134,7 @@
 func (s *Server) Register(mux *http.ServeMux) {
 	handle(mux, apiv1.NewConfigServer(s))
 	handle(mux, apiv1.NewMovesServer(movesService{s}))
+	handle(mux, apiv1.NewEvacuationsServer(evacuationsService{s}))
 	handle(mux, apiv1.NewDistributionServer(distributionService{s.watchServer, s}))
 	handle(mux, apiv1.NewRelayServer(relayService{s}))
 	handle(mux, apiv1.NewMembershipServer(membershipService{s}))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -259,7 +259,7 @@
 		d.gatedTraffic.register(mux)
 	}
 	if d.control != nil && d.platform.OperatorHandler != nil {
-		mux.Handle("/", d.platform.OperatorHandler(d.control, d.control.Moves(), d.logger))
+		mux.Handle("/", d.platform.OperatorHandler(d.control, d.control.Moves(), d.control.Evacuations(), d.logger))
 	}
 	if d.node != nil && d.control == nil {
 		d.node.Register(mux)
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -56,10 +56,16 @@
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
-			LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
+			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
+			Headers: headers, Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "samphireflow_gate_paced_refusals_total",
+		Help: "Calls that the gate refused because the backend server is cold.",
+	}, func() float64 { return float64(g.gate.PacedRefusals()) }))
 	g.service = proxy.NewPeerService(n, g.suspects)
 	g.ingress = ingress.New(ingress.Options{
 		Instance:      s.Instance,
--- a/internal/daemon/platform_options.go
+++ b/internal/daemon/platform_options.go
@@ -18,7 +18,7 @@
 	Headers calls.Headers
 	// OperatorHandler returns the handler that serves operators of the platform on the control address of a control
 	// instance.
-	OperatorHandler func(config apiv1.Config, moves apiv1.Moves, logger zerolog.Logger) http.Handler
+	OperatorHandler func(config apiv1.Config, moves apiv1.Moves, evacuations apiv1.Evacuations, logger zerolog.Logger) http.Handler
 	// AnnounceAddr is the address at which the backend server on a node's machine announces itself to the node.
 	AnnounceAddr    string
 	AnnounceHandler func(n *node.Node) http.Handler
--- a/internal/daemon/proxy_traffic.go
+++ b/internal/daemon/proxy_traffic.go
@@ -64,7 +64,7 @@
 
 		suspects: suspects,
 		service:  proxy.NewPeerService(n, suspects),
-		gate:     proxy.NewGate(proxy.GateOptions{Instance: s.Instance, Local: n.Announced, Started: started, Now: time.Now}),
+		gate:     proxy.NewGate(proxy.GateOptions{Instance: s.Instance, Local: func() *apiv1.BackendServer { return announcedUnlessEvacuated(n) }, Started: started, Now: time.Now}),
 		holder: claim.NewHolder(claim.HolderOptions{
 			Instance:      s.Instance,
 			FailureDomain: s.FailureDomain,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +39,12 @@
 	Headers     calls.Headers
 	// Recorder counts the outcomes of the calls that were sent to the backend server.
 	Recorder Recorder
+	// ColdUntil returns the end of the coldness that the backend server announces; nil if it announces none.
+	ColdUntil func() time.Time
+	// Terms returns what the configuration says of a backend server; nil means that it says nothing.
+	Terms func(server *apiv1.BackendServer) Terms
+	// ColdOverrun and ColdSlack say how far the calls to a cold backend server may exceed its rate; see coldLimit.
+	ColdOverrun, ColdSlack float64
 	// Stop decides which calls of other nodes are taken during a planned stop of this node; nil takes all.
 	Stop   *calls.StopAdmission
 	Logger zerolog.Logger
@@ -64,6 +72,8 @@
 	breakerOpen bool
 	// repeatedShare is the share of retries among the latest runs, a mean that gives each run the weight repeatedWeight.
 	repeatedShare float64
+	cold          coldState
+	pacedRefusals atomic.Uint64
 }
 
 // serverIncarnation identifies one start of a backend server, with the address and version that it announced.
@@ -77,7 +87,10 @@
 
 // New returns a gate.
 func New(options Options) *Gate {
-	return &Gate{options: options, client: exchange.NewClient(dialTimeout), queue: NewQueue(defaultSlots)}
+	return &Gate{
+		options: options, client: exchange.NewClient(dialTimeout), queue: NewQueue(defaultSlots),
+		cold: coldState{pace: NewPace(options.Now())},
+	}
 }
 
 // Load returns the current load of the backend server.
@@ -127,12 +140,19 @@
 	if refused := g.checkBreaker(); refused != nil {
 		return refused
 	}
+	if refused := g.checkPace(false); refused != nil {
+		return refused
+	}
 	queue, decision := g.waitForSlot(ctx, c, server, finishBy)
 	if decision.Action != Run {
 		return g.queueRefusal(ctx, decision)
 	}
 	// While the call waited, the backend server may have started to drain, or another instance may have replaced it.
-	if _, refused := g.resolveServer(instance); refused != nil {
+	_, refused = g.resolveServer(instance)
+	if refused == nil {
+		refused = g.checkPace(true)
+	}
+	if refused != nil {
 		g.release(queue, c.Route, 0)
 		return refused
 	}
@@ -175,8 +195,8 @@
 	return &calls.Result{Outcome: calls.NotRun, Reason: reason, Detail: detail}
 }
 
-// resolveServer returns the current incarnation of the backend server, or a refusal if it is not the given instance or is
-// draining. For a new incarnation it starts an empty queue, closes the circuit breaker and drops the connections to the
+// resolveServer returns the current incarnation of the backend server, or a refusal if it is not the given instance, is
+// draining or is in an evacuated failure domain. For a new incarnation it starts an empty queue, closes the circuit breaker and drops the connections to the
 // previous incarnation.
 func (g *Gate) resolveServer(instance string) (serverIncarnation, *calls.Result) {
 	info := g.options.LocalServer()
@@ -188,6 +208,10 @@
 	case info.State != apiv1.ServerState_SERVER_STATE_READY:
 		return serverIncarnation{}, refusal(calls.ReasonDraining, "the backend server is leaving")
 	}
+	terms := g.terms(info)
+	if terms.Evacuated {
+		return serverIncarnation{}, refusal(calls.ReasonEvacuated, "failure domain "+info.FailureDomain+" is evacuated")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	announced := serverIncarnation{info.Instance, info.Incarnation, info.Addr, info.Service, info.Version}
@@ -202,7 +226,10 @@
 			slots = defaultSlots
 		}
 		g.queue = NewQueue(slots)
+		// Its own announcements say how long it is cold.
+		g.cold.told, g.cold.suspected = time.Time{}, time.Time{}
 	}
+	g.noteTerms(terms)
 	return announced, nil
 }
 
@@ -282,6 +309,7 @@
 		return g.exchangeFailure(err)
 	}
 	g.closeBreaker()
+	g.readCold(response.Header)
 	return g.classify(response)
 }
 
@@ -308,6 +336,9 @@
 		g.mu.Lock()
 		g.breakerOpen, g.nextTrial = true, g.options.Now().Add(breakerOpenTime)
 		g.mu.Unlock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.noteRefusedConnection()
+		}
 		return refusal(calls.ReasonUnreachable, err.Error())
 	}
 	return &calls.Result{Outcome: calls.Unknown, Reason: calls.ReasonBroken, Detail: err.Error()}
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -20,6 +20,9 @@
 	// the gates of a service fill up together: a second gate admitted on time only one in a hundred of the calls that the
 	// first had refused on days of high load, and one in ten on other days.
 	maxLateRefusals = 2
+	// maxColdRefusals is the number of refusals by gates of cold backend servers from which each counts like one of a full
+	// backend server. The nodes learn of such a backend server with its first refusal, so most calls meet none.
+	maxColdRefusals = 3
 	// lateTimeShare is the share of the time left until the deadline within which a late attempt must be expected to
 	// finish; the length of the route's objective limits it further. A caller that is refused by then can retry within its
 	// own deadline. Longer queues serve no more calls. If backend servers of one service call another service, longer
@@ -51,6 +54,8 @@
 	// late is set once the call makes late attempts; lateRefusals counts their refusals.
 	late         bool
 	lateRefusals int
+	// coldRefusals counts the refusals of gates whose backend servers are cold.
+	coldRefusals int
 	// refusedOnTime is the backend server whose gate refused the attempt on time. It gets a late one if no other is left.
 	refusedOnTime string
 	// retryAfter is the shortest time after which a gate would admit the call.
@@ -186,7 +191,7 @@
 	}
 	d.tried[info.Instance] = true
 	d.attempts = append(d.attempts, attempt{info.Instance, result})
-	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull {
+	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull && result.Reason != calls.ReasonCold {
 		d.ingress.options.Logger.Info().Str("request_id", d.call.ID).Str("route", d.call.Route).Str("service", d.service).
 			Str("backend_server", info.Instance).Str("node", info.Node).Uint64("version", d.table.Snapshot.Version).
 			Str("fate", string(result.Outcome)).Str("reason", string(result.Reason)).Str("detail", result.Detail).
@@ -263,6 +268,14 @@
 		if d.retryAfter == 0 || result.RetryAfter < d.retryAfter {
 			d.retryAfter = result.RetryAfter
 		}
+	case calls.ReasonCold:
+		// Backend servers become cold together: after some refusals the call is not worth more time.
+		if d.coldRefusals++; d.coldRefusals >= maxColdRefusals {
+			d.countRefusal()
+		}
+		if d.retryAfter == 0 || result.RetryAfter < d.retryAfter {
+			d.retryAfter = result.RetryAfter
+		}
 	case calls.ReasonShed:
 		if !d.mayRetry() || !d.ingress.retries.takeRetry(d.service, d.ingress.options.Now()) {
 			return d.finalRefusal()
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -81,11 +81,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	before := n.advertisedServer(now)
-	if before != nil && before.Incarnation == server.Incarnation {
-		// The remaining slow start shrinks with each heartbeat. The first value is kept, so that a heartbeat alone
-		// does not change the record.
-		server.ColdMs = before.ColdMs
-	}
+	n.noteCold(before, server, now)
 	if before != nil && before.Incarnation != server.Incarnation {
 		n.drain = drainOrder{}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,9 @@
 	storedChanged  chan struct{}
 	applied        announceSchedule
 	drain          drainOrder
+	// coldUntil is the end of the coldness of the announced backend server, and advertisedCold the end that the advertised
+	// record tells.
+	coldUntil, advertisedCold time.Time
 	// stopping is set once this node is about to stop.
 	stopping bool
 	// renewNow wakes the renewal loop before its interval has passed.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -268,6 +268,9 @@
 	event := n.options.Logger.Info().Uint64("version", current.Version).Uint64("config_term", current.Term).
 		Str("digest", strconv.FormatUint(current.Digest, 16)).Str("upstream", from.Addr).Bool("delta", response.Delta != nil).
 		Int("bytes", len(response.Delta)+len(response.Snapshot))
+	if len(current.EvacuatedDomains) > 0 {
+		event.Strs("evacuated_domains", current.EvacuatedDomains)
+	}
 	if n.applier.mayServe() {
 		event.Msg("configuration applied")
 	} else {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,6 +18,10 @@
 	// the bytes between failure domains and answered as many calls in time; with 0.8 the callers in the most loaded
 	// failure domain were served later on days of low load.
 	remoteCost = 0.35
+	// pacedCost is the additional cost of a cold backend server whose gate limits the rate of calls, in the unit of
+	// remoteCost. The other backend servers take the calls as long as they are expected to keep to the objective: all nodes
+	// together may send a cold one only a few calls.
+	pacedCost = 1
 	// errorCost is the cost of a failed call as a multiple of the value of a call. It is above 1 because retrying the
 	// call elsewhere has a cost too.
 	errorCost = 2
@@ -62,6 +66,9 @@
 			if !candidate.Local {
 				cost += remoteCost
 			}
+			if snapshots[i].paced {
+				cost += pacedCost
+			}
 			if best < 0 || cost < bestCost {
 				best, bestCost = i, cost
 			}
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -28,14 +28,23 @@
 	// drainingBackoff is the time for which a backend server is avoided after it refused a call as draining or as
 	// misdirected. By the end of it the membership shows the change.
 	drainingBackoff = 3 * time.Second
+	// evacuatedBackoff is the time for which a backend server is avoided after its gate refused a call because of an
+	// evacuation that this node does not know, or no longer. By the end of it the configuration shows the change.
+	evacuatedBackoff = time.Second
+	// minColdBackoff and maxColdBackoff bound the time for which a cold backend server is avoided after it refused a call.
+	// Its gate says when it can take the next one, but all nodes wait for that.
+	minColdBackoff = 100 * time.Millisecond
+	maxColdBackoff = time.Second
 )
 
 // ServerStats holds what a node knows of one incarnation of a backend server. It is safe for concurrent use.
 type ServerStats struct {
 	mu    sync.Mutex
 	slots int
-	// coldUntil is the end of the time in which the backend server is slow after its start.
+	// coldUntil is the end of the time in which the backend server is cold.
 	coldUntil time.Time
+	// coldRate is the number of calls per second that the backend server can take while it is cold, 0 for no limit.
+	coldRate float64
 	// ownCalls is the number of this node's calls in flight.
 	ownCalls int
 	// otherCalls is the number of running and waiting calls of other nodes that the gate reported at reportedAt.
@@ -60,6 +69,22 @@
 	return &ServerStats{slots: max(slots, 1), coldUntil: coldUntil}
 }
 
+// MarkCold records that the backend server is cold until a time.
+func (s *ServerStats) MarkCold(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.coldUntil) {
+		s.coldUntil = until
+	}
+}
+
+// SetColdRate sets the number of calls per second that the backend server can take while it is cold, 0 for no limit.
+func (s *ServerStats) SetColdRate(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldRate = rate
+}
+
 // Begin counts a call that is sent to the backend server. End must follow.
 func (s *ServerStats) Begin(now time.Time) {
 	s.mu.Lock()
@@ -114,6 +139,10 @@
 	switch result.Reason {
 	case calls.ReasonDraining, calls.ReasonMisdirected:
 		s.avoidUntil = now.Add(drainingBackoff)
+	case calls.ReasonEvacuated:
+		s.avoidUntil = now.Add(evacuatedBackoff)
+	case calls.ReasonCold:
+		s.avoidUntil = now.Add(min(max(result.RetryAfter, minColdBackoff), maxColdBackoff))
 	case calls.ReasonUnreachable:
 		s.avoidUntil = now.Add(min(unreachableBackoff<<min(s.unreachableInRow, 8), maxUnreachableBackoff))
 		s.unreachableInRow++
@@ -135,6 +164,8 @@
 	errorRate      float64
 	// avoid says that calls should go to other backend servers.
 	avoid bool
+	// paced says that the backend server is cold and its gate limits the rate of calls.
+	paced bool
 }
 
 // snapshot returns the statistics with the weights that they have at a time.
@@ -144,6 +175,7 @@
 	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, avoid: now.Before(s.avoidUntil)}
 	if now.Before(s.coldUntil) {
 		snap.slots /= coldSlowdown
+		snap.paced = s.coldRate > 0
 	}
 	snap.occupied += float64(s.otherCalls) * decay(now.Sub(s.reportedAt), reportHalfLife)
 	snap.meanLatencyAge = now.Sub(s.meanLatencyAt)
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"time"
 
 	apiv1 "samphireflow/api/v1"
@@ -18,6 +19,10 @@
 	routes  *routeSet
 	// customers are those of the last table.
 	customers *customerSet
+	// evacuated holds the evacuated failure domains of the last table.
+	evacuated map[string]bool
+	// evacuationEnds is Table.EvacuationEnds of the last table. It is replaced, never modified.
+	evacuationEnds map[string]time.Time
 }
 
 // serverKey identifies one incarnation of a backend server. After a restart the backend server has another key, as has
@@ -53,6 +58,9 @@
 		server := &Server{Info: info}
 		if known := r.servers[key]; known != nil {
 			server.Load, server.Stats = known.Load, known.Stats
+			if info.ColdMs != known.Info.ColdMs {
+				server.Stats.MarkCold(time.Now().Add(time.Duration(info.ColdMs) * time.Millisecond))
+			}
 		} else {
 			coldUntil := time.Now().Add(time.Duration(info.ColdMs) * time.Millisecond)
 			server.Load, server.Stats = balance.NewLoad(info), placement.NewServerStats(int(info.Slots), coldUntil)
@@ -63,3 +71,27 @@
 	r.servers = kept
 	return list
 }
+
+// noteEvacuated records which evacuations have ended since the last table. The backend servers of those failure domains may
+// have become cold while they got no calls, so they are taken for cold.
+func (r *Registry) noteEvacuated(t *Table, now time.Time) {
+	ends := maps.Clone(r.evacuationEnds)
+	for domain := range r.evacuated {
+		if !t.Evacuated[domain] {
+			if ends == nil {
+				ends = map[string]time.Time{}
+			}
+			ends[domain] = now
+		}
+	}
+	r.evacuated, r.evacuationEnds, t.EvacuationEnds = t.Evacuated, ends, ends
+	for _, service := range t.services {
+		rate := service.Settings.ColdRate
+		for _, server := range service.Ready {
+			server.Stats.SetColdRate(rate)
+			if end, ended := ends[server.Info.FailureDomain]; ended && rate > 0 {
+				server.Stats.MarkCold(end.Add(service.Settings.ColdStart))
+			}
+		}
+	}
+}
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -37,6 +37,10 @@
 	// CallerShare is the share of the queue that one caller may occupy.
 	CallerShare  float64
 	DrainTimeout time.Duration
+	// ColdStart is the time for which a backend server is cold after its start, and ColdRate the number of calls per second
+	// that a cold one can take; 0 means that there is no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// ErrorMargin and LatencyRatio are the rise of the error rate and the ratio of the call durations, new version to old,
 	// at which a new version counts as bad.
 	ErrorMargin  float64
@@ -135,6 +139,8 @@
 		QueueLength:  v.integer(tree.KeyQueueLength),
 		CallerShare:  v.float(tree.KeyCallerShare),
 		DrainTimeout: v.duration(tree.KeyDrainTimeout),
+		ColdStart:    v.duration(tree.KeyServiceColdStart),
+		ColdRate:     v.float(tree.KeyServiceColdRate),
 		ErrorMargin:  v.float(tree.KeyMoveErrorMargin),
 		LatencyRatio: v.float(tree.KeyMoveLatencyRatio),
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -46,6 +46,10 @@
 	Snapshot *apiv1.Snapshot
 	// CallerLimits bounds the requests of callers.
 	CallerLimits CallerLimits
+	// Evacuated holds the failure domains whose backend servers get no calls. They are not among the servers of services.
+	Evacuated map[string]bool
+	// EvacuationEnds holds the times at which this node learned of the end of evacuations, by failure domain.
+	EvacuationEnds map[string]time.Time
 	// ServerCount is the number of announced backend servers, each of which has a node.
 	ServerCount int
 	// Customers holds the customers, by whose keys callers authenticate.
@@ -59,13 +63,14 @@
 // Build returns the table of a validated configuration snapshot and the announced backend servers. The registry keeps
 // the load and statistics of backend servers, and unchanged routes, between builds.
 func Build(snap *apiv1.Snapshot, servers []*apiv1.BackendServer, registry *Registry) *Table {
-	t := &Table{Snapshot: snap, ServerCount: len(servers), services: make(map[string]*Service, len(snap.Services))}
-	ready, draining := groupByService(servers, registry)
+	t := &Table{Snapshot: snap, Evacuated: nameSet(snap.EvacuatedDomains), ServerCount: len(servers), services: make(map[string]*Service, len(snap.Services))}
+	ready, draining := groupByService(servers, t.Evacuated, registry)
 	for _, config := range snap.Services {
 		service := buildService(config, ready[config.Name], snap.FailureDomain)
 		service.Draining = draining[config.Name]
 		t.services[config.Name] = service
 	}
+	registry.noteEvacuated(t, time.Now())
 	t.routes = registry.nextRoutes(snap)
 	t.Customers = registry.nextCustomers(snap).directory
 	t.CallerLimits = parseCallerLimits(snap.Settings)
@@ -98,10 +103,13 @@
 }
 
 // groupByService updates the registry and returns the ready and the draining backend servers by the name of their
-// service.
-func groupByService(servers []*apiv1.BackendServer, registry *Registry) (ready, draining map[string][]*Server) {
+// service, without those in evacuated failure domains.
+func groupByService(servers []*apiv1.BackendServer, evacuated map[string]bool, registry *Registry) (ready, draining map[string][]*Server) {
 	ready, draining = map[string][]*Server{}, map[string][]*Server{}
 	for _, server := range registry.Update(servers) {
+		if evacuated[server.Info.FailureDomain] {
+			continue
+		}
 		switch server.Info.State {
 		case apiv1.ServerState_SERVER_STATE_READY:
 			ready[server.Info.Service] = append(ready[server.Info.Service], server)
@@ -145,3 +153,14 @@
 func (t *Table) Service(name string) *Service {
 	return t.services[name]
 }
+
+func nameSet(names []string) map[string]bool {
+	if len(names) == 0 {
+		return nil
+	}
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -64,3 +64,49 @@
 	fourth := Build(&apiv1.Snapshot{Resources: budget("7")}, nil, registry)
 	require.Nil(t, fourth.MatchHost("rota.example", "/lookup/1"))
 }
+
+// TestEvacuatedServersGetNoCalls: neither ready nor draining backend servers of an evacuated failure domain are in the table,
+// not even when no other is left.
+func TestEvacuatedServersGetNoCalls(t *testing.T) {
+	server := func(instance, domain string, state apiv1.ServerState) *apiv1.BackendServer {
+		return &apiv1.BackendServer{Instance: instance, Service: "rota", Version: "v1", State: state, FailureDomain: domain, Slots: 4}
+	}
+	servers := []*apiv1.BackendServer{
+		server("a", "hobart", apiv1.ServerState_SERVER_STATE_READY),
+		server("b", "hobart", apiv1.ServerState_SERVER_STATE_DRAINING),
+		server("c", "burnie", apiv1.ServerState_SERVER_STATE_READY),
+	}
+	snap := func(evacuated ...string) *apiv1.Snapshot {
+		return &apiv1.Snapshot{FailureDomain: "hobart", EvacuatedDomains: evacuated, Services: []*apiv1.ServiceConfig{{
+			Name: "rota", Shares: []*apiv1.VersionShare{{Version: "v1", ShareBp: 10000}},
+			Settings: []*apiv1.Setting{{Key: "service.cold-start", Value: "3s"}, {Key: "service.cold-rate", Value: "12"}},
+		}}}
+	}
+	registry := NewRegistry()
+	names := func(list []*Server) []string {
+		var names []string
+		for _, s := range list {
+			names = append(names, s.Info.Instance)
+		}
+		return names
+	}
+	table := Build(snap("hobart"), servers, registry)
+	rota := table.Service("rota")
+	require.Equal(t, []string{"c"}, names(rota.Ready))
+	require.Empty(t, rota.Draining)
+	require.Equal(t, []string{"c"}, names(rota.Versions[0].All()))
+	require.Equal(t, 3, table.ServerCount, "the nodes are still there")
+	require.True(t, table.Evacuated["hobart"])
+
+	all := Build(snap("burnie", "hobart"), servers, registry).Service("rota")
+	require.Empty(t, all.Ready)
+	require.Empty(t, all.Versions[0].All())
+
+	before := time.Now()
+	table = Build(snap(), servers, registry)
+	require.Equal(t, []string{"a", "c"}, names(table.Service("rota").Ready))
+	require.Equal(t, []string{"b"}, names(table.Service("rota").Draining))
+	require.WithinRange(t, table.EvacuationEnds["hobart"], before, time.Now())
+	again := Build(snap(), servers, registry)
+	require.Equal(t, table.EvacuationEnds, again.EvacuationEnds)
+}
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -83,7 +83,7 @@
 	serviceKeys = []string{
 		tree.KeySpillThreshold, tree.KeySlowStart, tree.KeyEjectErrorRate, tree.KeyEjectMaxShare, tree.KeyEjectTime,
 		tree.KeyQueueLength, tree.KeyCallerShare, tree.KeyDrainTimeout, tree.KeyMoveErrorMargin, tree.KeyMoveLatencyRatio,
-		tree.KeyServiceHealthPath, tree.KeyServiceConnLimit,
+		tree.KeyServiceHealthPath, tree.KeyServiceConnLimit, tree.KeyServiceColdStart, tree.KeyServiceColdRate,
 	}
 	routeKeys = []string{tree.KeyCallTimeout, tree.KeyRetryLimit, tree.KeyRetryBudget, tree.KeyClaimRetention}
 	// hostRouteKeys are the additional keys of a route that is matched by host and path prefix.
--- a/internal/snapshot/builder.go
+++ b/internal/snapshot/builder.go
@@ -50,6 +50,7 @@
 	snap.Resources = shareUnchangedEntities(b.snap.Resources, snap.Resources)
 	snap.Customers = shareUnchangedEntities(b.snap.Customers, snap.Customers)
 	snap.Routes = shareUnchangedEntities(b.snap.Routes, b.buildRoutes(view.Tree))
+	snap.EvacuatedDomains = view.Tree.EvacuatedDomains()
 	snap.Assignments = assignmentsFor(view, b.failureDomain)
 	global := view.Tree.Scope(tree.Path{Level: tree.LevelGlobal}.ForSite(b.failureDomain))
 	snap.Settings = resolveSettings(global, callerKeys)
--- a/internal/tree/schema.go
+++ b/internal/tree/schema.go
@@ -79,6 +79,8 @@
 	KeyCallerIdleTimeout   = "caller.idle-timeout"
 	KeyServiceHealthPath   = "service.health-path"
 	KeyServiceConnLimit    = "service.connections"
+	KeyServiceColdStart    = "service.cold-start"
+	KeyServiceColdRate     = "service.cold-rate"
 	KeyMoveFirstShare      = "move.first-share"
 	KeyMoveErrorMargin     = "move.error-margin"
 	KeyMoveLatencyRatio    = "move.latency-ratio"
@@ -93,6 +95,7 @@
 	KeyCustomerPriority    = "customer.priority"
 	KeyCustomerRate        = "customer.calls-per-second"
 	KeyCustomerBurst       = "customer.burst"
+	KeySiteEvacuated       = "site.evacuated"
 	KeyNote                = "note"
 )
 
@@ -140,6 +143,8 @@
 	{Key: KeyCallerIdleTimeout, Kind: KindDuration, Default: "1m", Min: float64(time.Millisecond), Max: float64(24 * time.Hour), Levels: []Level{LevelGlobal}, Help: "time after which an idle connection of a caller is closed"},
 	{Key: KeyServiceHealthPath, Kind: KindText, Levels: []Level{serviceOnly}, Help: "path of the health check of the backend servers"},
 	{Key: KeyServiceConnLimit, Kind: KindInt, Min: 0, Max: 1e6, Levels: []Level{serviceOnly}, Help: "connections that a backend server accepts"},
+	{Key: KeyServiceColdStart, Kind: KindDuration, Min: 0, Max: float64(time.Hour), Levels: []Level{serviceOnly}, Help: "time for which a backend server is cold after its start"},
+	{Key: KeyServiceColdRate, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{serviceOnly}, Help: "calls a second that a cold backend server can take, 0 for no limit"},
 	{Key: KeyMoveFirstShare, Kind: KindFloat, Default: "0.05", Min: 0.001, Max: 0.25, Help: "share of calls at the first stage of a move"},
 	{Key: KeyMoveErrorMargin, Kind: KindFloat, Default: "0.02", Min: 0.001, Max: 1, Help: "rise of the error rate at which a new version is bad"},
 	{Key: KeyMoveLatencyRatio, Kind: KindFloat, Default: "2", Min: 1.1, Max: 100, Help: "ratio of call durations, new to old, at which a new version is bad"},
@@ -154,6 +159,7 @@
 	{Key: KeyCustomerPriority, Kind: KindInt, Min: 0, Max: 100, Levels: []Level{customerOnly}, Help: "rank of the customer's calls, in place of that of the route"},
 	{Key: KeyCustomerRate, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{customerOnly}, Help: "calls a second that the customer may send to all nodes together, 0 for no limit"},
 	{Key: KeyCustomerBurst, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{customerOnly}, Help: "calls that the customer may send at once beyond the rate"},
+	{Key: KeySiteEvacuated, Kind: KindBool, Levels: []Level{LevelSite}, Help: "whether backend servers of the failure domain get no calls; set by the order of an evacuation"},
 	{Key: KeyNote, Kind: KindText, Levels: []Level{LevelGlobal, LevelSite, LevelService, LevelServiceSite, LevelRoute, LevelRouteSite, LevelResource, LevelCustomer}, Help: "free text for operators"},
 }
 
--- a/internal/tree/undo.go
+++ b/internal/tree/undo.go
@@ -55,7 +55,7 @@
 }
 
 // RevertEdit returns the branch edits that turn the settings of t into those of target. The versions of services stay as
-// they are, because only moves change them.
+// they are, because only moves change them, and so do evacuations, which only their own orders change.
 func (t *Tree) RevertEdit(target *Tree) []*apiv1.BranchEdit {
 	var edits []*apiv1.BranchEdit
 	for _, branch := range t.Branches() {
@@ -65,6 +65,12 @@
 		if parent, ok := branch.Path.parent(); ok && t.branches[parent] != nil && target.branches[parent] == nil {
 			continue
 		}
+		if branch.Evacuated() {
+			if edit := revertBranch(branch, &Branch{Path: branch.Path}); edit != nil {
+				edits = append(edits, edit)
+			}
+			continue
+		}
 		edits = append(edits, &apiv1.BranchEdit{Path: branch.Path.String(), BaseVersion: branch.Version, Remove: true})
 	}
 	for _, wanted := range target.Branches() {
@@ -80,12 +86,15 @@
 	if current != nil {
 		edit.BaseVersion = current.Version
 		for _, setting := range current.Settings() {
-			if _, ok := wanted.Get(setting.Key); !ok && setting.Key != KeyServiceVersion {
+			if _, ok := wanted.Get(setting.Key); !ok && setting.Key != KeyServiceVersion && setting.Key != KeySiteEvacuated {
 				edit.Changes = append(edit.Changes, &apiv1.Change{Key: setting.Key, Unset: true})
 			}
 		}
 	}
 	for _, setting := range wanted.Settings() {
+		if setting.Key == KeySiteEvacuated {
+			continue
+		}
 		if text, ok := current.Get(setting.Key); !ok || text != setting.Value {
 			edit.Changes = append(edit.Changes, &apiv1.Change{Key: setting.Key, Value: setting.Value})
 		}
