Follow the slowdown that backend servers tell, at gates and in placement

Cause: machines are shared; 15% of them take 2.5 times as long for 600 ms at a time, and a node learns from its own calls within seconds. Change: the gate keeps the fourth figure of the load field with its age, expects latencies by it, keeps its means at a slowdown of 1 and passes on calls that would be late only because of this moment; nodes choose by the slowdown that rides on each answer. Without a fourth figure nothing changes.

--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -24,6 +24,9 @@
 	ReasonNone Reason = ""
 	// ReasonFull means that the gate's queue has no room: the call would have waited for too long.
 	ReasonFull Reason = "full"
+	// ReasonSlow means that a slot is free, but the machine is so slow at this moment that the call would miss the time by
+	// which it is to finish.
+	ReasonSlow Reason = "slow"
 	// ReasonDraining means that the backend server is draining.
 	ReasonDraining Reason = "draining"
 	// ReasonMisdirected means that the call reached another backend server or a node without one, or could not be read.
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -28,6 +28,8 @@
 	Action Action
 	// RetryAfter is the time after which a refused call would be admitted.
 	RetryAfter time.Duration
+	// Slow says that a slot was free, but the call is expected to finish earlier elsewhere.
+	Slow bool
 }
 
 // Action is the action to take on a call.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -88,7 +88,7 @@
 }
 
 func (g *Gate) load() calls.Load {
-	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots()}
+	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots(), Slowdown: g.queue.slowdown(g.options.Now())}
 }
 
 // RepeatedShare returns the share of retries among the latest runs, from 0 to 1.
@@ -138,8 +138,9 @@
 	}
 	g.recordRun(c)
 	started := g.options.Now()
+	slowdown := g.slowdown(queue)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
-	result := g.send(ctx, c, server)
+	result := g.send(ctx, c, server, queue)
 	calls.CancelWhenRead(result.Response, cancel)
 	result.Latency = g.options.Now().Sub(started)
 	g.recordOutcome(c, server, result)
@@ -149,10 +150,10 @@
 	case result.Response.Rest != nil:
 		// The backend server is still sending, so the call keeps its slot.
 		result.Response.Rest = newSlotHolder(ctx, result.Response.Rest, func() {
-			g.release(queue, c.Route, g.options.Now().Sub(started))
+			g.release(queue, c.Route, atSlowdownOne(g.options.Now().Sub(started), slowdown))
 		})
 	default:
-		g.release(queue, c.Route, result.Latency)
+		g.release(queue, c.Route, atSlowdownOne(result.Latency, slowdown))
 	}
 	return result
 }
@@ -263,11 +264,40 @@
 		return refusal(calls.ReasonCanceled, "the caller left while the call waited")
 	}
 	result := refusal(calls.ReasonFull, "the call would wait for longer than it can")
+	if decision.Slow {
+		result = refusal(calls.ReasonSlow, "the machine is too slow for the call at this moment")
+	}
 	result.RetryAfter = decision.RetryAfter
 	return result
 }
 
-// release frees the slot of a call. A latency of 0 is not counted in the queue's mean latencies.
+// hearLoad takes in what the backend server says of its machine in a response.
+func (g *Gate) hearLoad(queue *Queue, response *exchange.Response) {
+	if load, ok := calls.ParseLoad(response.Header.Get(g.options.Headers.Load)); ok && load.Slowdown > 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		queue.hearLoad(load, g.options.Now())
+	}
+}
+
+// slowdown returns the slowdown of the backend server, 0 if it does not tell it.
+func (g *Gate) slowdown(queue *Queue) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return queue.slowdown(g.options.Now())
+}
+
+// atSlowdownOne returns what the latency of a call would have been without the slowdown with which it began, 0 if that is
+// not known. The speed of the machine at the start of a run holds for the whole run.
+func atSlowdownOne(latency time.Duration, slowdown float64) time.Duration {
+	if slowdown <= 0 {
+		return latency
+	}
+	return time.Duration(float64(latency) / slowdown)
+}
+
+// release frees the slot of a call. A latency of 0 is not counted in the queue's mean latencies; others are those of a
+// slowdown of 1.
 func (g *Gate) release(queue *Queue, route string, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -276,12 +306,13 @@
 
 // send sends the call to the backend server and returns the result. The end of the context aborts the exchange, also while the
 // rest of a long response is read.
-func (g *Gate) send(ctx context.Context, c *calls.Call, server serverIncarnation) *calls.Result {
+func (g *Gate) send(ctx context.Context, c *calls.Call, server serverIncarnation, queue *Queue) *calls.Result {
 	response, err := g.client.Do(ctx, server.addr, g.request(c, server, g.options.Now()))
 	if err != nil {
 		return g.exchangeFailure(err)
 	}
 	g.closeBreaker()
+	g.hearLoad(queue, response)
 	return g.classify(response)
 }
 
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -46,19 +46,22 @@
 
 // Admit decides on a new call: it runs if a slot is free, waits if fewer than maxWaiting calls wait and it is expected to
 // finish by its FinishBy, and is refused otherwise. Without a free slot, a call that is expected to miss its objective is
-// also refused while a call that can still meet its objective waits.
+// also refused while a call that can still meet its objective waits. A free slot is refused if passesOn says so.
 func (q *Queue) Admit(e *Entry, now time.Time) Decision {
 	q.lastSequence++
 	e.sequence = q.lastSequence
 	if q.running < q.slots {
+		if q.passesOn(e, now) {
+			return Decision{Action: Refuse, Slow: true, RetryAfter: minRetryAfter}
+		}
 		q.running++
 		return Decision{Action: Run}
 	}
 	if q.missesObjective(e, now) && q.hasTimelyWaiter(now) {
-		return Decision{Action: Refuse, RetryAfter: max(q.expectedWait(len(q.waiting)), minRetryAfter)}
+		return Decision{Action: Refuse, RetryAfter: max(q.expectedWait(len(q.waiting), now), minRetryAfter)}
 	}
-	wait := q.expectedWait(q.countAhead(e, now))
-	finish := now.Add(wait + q.latencies.ForRoute(e.Route))
+	wait := q.expectedWait(q.countAhead(e, now), now)
+	finish := now.Add(wait + q.latencies.Expected(e.Route, now))
 	if finish.After(e.FinishBy) || len(q.waiting) >= maxWaiting {
 		return Decision{Action: Refuse, RetryAfter: max(finish.Sub(e.FinishBy), minRetryAfter)}
 	}
@@ -88,7 +91,7 @@
 	}
 	for q.running < q.slots && len(q.waiting) > 0 {
 		e := q.popFirst(now)
-		if now.Add(q.latencies.ForRoute(e.Route)).After(e.Deadline) {
+		if now.Add(q.latencies.Expected(e.Route, now)).After(e.Deadline) {
 			e.decision <- Decision{Action: Refuse, RetryAfter: minRetryAfter}
 			continue
 		}
@@ -134,7 +137,7 @@
 
 // missesObjective reports whether a call is expected to miss its objective even if it ran now.
 func (q *Queue) missesObjective(e *Entry, now time.Time) bool {
-	return now.Add(q.latencies.ForRoute(e.Route)).After(e.Objective)
+	return now.Add(q.latencies.Expected(e.Route, now)).After(e.Objective)
 }
 
 // hasTimelyWaiter reports whether a waiting call can still meet its objective. While there is one, a slot that is given to
@@ -161,8 +164,8 @@
 
 // expectedWait estimates the time until a call with the given number of calls ahead of it gets a slot. Each slot is freed
 // on average once per mean latency of all calls.
-func (q *Queue) expectedWait(ahead int) time.Duration {
-	return time.Duration(float64(ahead+1) * float64(q.latencies.Overall()) / float64(q.slots))
+func (q *Queue) expectedWait(ahead int, now time.Time) time.Duration {
+	return time.Duration(float64(ahead+1) * float64(q.latencies.ExpectedOverall(now)) / float64(q.slots))
 }
 
 // evictOverdue refuses the waiting calls that are now expected to finish too late because other calls were queued ahead of
@@ -170,7 +173,7 @@
 func (q *Queue) evictOverdue(now time.Time) {
 	for i := len(q.waiting) - 1; i >= 0; i-- {
 		e := q.waiting[i]
-		finish := q.expectedWait(q.countAhead(e, now)) + q.latencies.ForRoute(e.Route)
+		finish := q.expectedWait(q.countAhead(e, now), now) + q.latencies.Expected(e.Route, now)
 		if float64(finish) > evictionFactor*float64(e.FinishBy.Sub(now)) {
 			q.removeAt(i)
 			e.decision <- Decision{Action: Refuse, RetryAfter: max(finish-e.FinishBy.Sub(now), minRetryAfter)}
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -20,6 +20,9 @@
 	// the gates of a service fill up together: a second gate admitted on time only one in a hundred of the calls that the
 	// first had refused on days of high load, and one in ten on other days.
 	maxLateRefusals = 2
+	// maxSlowRefusals is the number of gates that may pass a call on because their machine is slow at this moment before the
+	// call gives up its objective. With 15% of the machines slow, three questions in a row meet slow ones only once in 300.
+	maxSlowRefusals = 3
 	// lateTimeShare is the share of the time left until the deadline within which a late attempt must be expected to
 	// finish; the length of the route's objective limits it further. A caller that is refused by then can retry within its
 	// own deadline. Longer queues serve no more calls. If backend servers of one service call another service, longer
@@ -51,7 +54,9 @@
 	// late is set once the call makes late attempts; lateRefusals counts their refusals.
 	late         bool
 	lateRefusals int
-	// refusedOnTime is the backend server whose gate refused the attempt on time. It gets a late one if no other is left.
+	// slowRefusals counts the gates that passed the call on because their machine is slow at this moment.
+	slowRefusals int
+	// refusedOnTime is the backend server whose gate last refused an attempt on time. It gets a late one if no other is left.
 	refusedOnTime string
 	// retryAfter is the shortest time after which a gate would admit the call.
 	retryAfter time.Duration
@@ -156,7 +161,12 @@
 		return earlier(d.call.Objective.Add(-margin), d.call.Deadline)
 	}
 	now := d.ingress.options.Now()
-	return now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
+	by := now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
+	if d.slowRefusals > 0 && by.Before(d.call.Objective) {
+		// A gate passes on only calls that are to finish before their objective.
+		return d.call.Objective
+	}
+	return by
 }
 
 // earlier returns the earlier of two times.
@@ -186,7 +196,7 @@
 	}
 	d.tried[info.Instance] = true
 	d.attempts = append(d.attempts, attempt{info.Instance, result})
-	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull {
+	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull && result.Reason != calls.ReasonSlow {
 		d.ingress.options.Logger.Info().Str("request_id", d.call.ID).Str("route", d.call.Route).Str("service", d.service).
 			Str("backend_server", info.Instance).Str("node", info.Node).Uint64("version", d.table.Snapshot.Version).
 			Str("fate", string(result.Outcome)).Str("reason", string(result.Reason)).Str("detail", result.Detail).
@@ -263,6 +273,12 @@
 		if d.retryAfter == 0 || result.RetryAfter < d.retryAfter {
 			d.retryAfter = result.RetryAfter
 		}
+	case calls.ReasonSlow:
+		d.slowRefusals++
+		if !d.late {
+			d.refusedOnTime = server.Info.Instance
+		}
+		d.late = d.late || d.slowRefusals >= maxSlowRefusals
 	case calls.ReasonShed:
 		if !d.mayRetry() || !d.ingress.retries.takeRetry(d.service, d.ingress.options.Now()) {
 			return d.finalRefusal()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -96,5 +96,5 @@
 	}
 	utilization := s.occupied / s.slots
 	queued := max(s.occupied+1-s.slots, 0) / s.slots
-	return mean * (1 + queued + occupancyPenalty*min(utilization, 1))
+	return mean * s.slowdown * (1 + queued + occupancyPenalty*min(utilization, 1))
 }
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphireflow/internal/calls"
+	"samphireflow/internal/slowdown"
 )
 
 const (
@@ -45,6 +46,10 @@
 	// the time of its last update.
 	meanLatency   time.Duration
 	meanLatencyAt time.Time
+	// word is what the backend server last told of its slowdown. meanSlowdown is the moving average of the slowdown over the
+	// calls of meanLatency, 0 if none was told.
+	word         slowdown.Word
+	meanSlowdown float64
 	// errorRate is the moving average of the share of failed and shed calls; errorRateAt is the time of its last update.
 	errorRate   float64
 	errorRateAt time.Time
@@ -78,6 +83,7 @@
 	if result.Load != nil {
 		s.otherCalls = max(result.Load.Running+result.Load.Waiting-s.ownCalls, 0)
 		s.reportedAt = now
+		s.word.Hear(result.Load.Slowdown, now)
 		if s.unreachableInRow > 0 {
 			s.unreachableInRow = 0
 			s.avoidUntil = now
@@ -107,6 +113,11 @@
 	} else {
 		s.meanLatency += time.Duration(latencyWeight * float64(result.Latency-s.meanLatency))
 	}
+	if s.meanSlowdown == 0 && s.word.Told() {
+		s.meanSlowdown = s.word.At(now)
+	} else if s.word.Told() {
+		s.meanSlowdown += latencyWeight * (s.word.At(now) - s.meanSlowdown)
+	}
 	s.meanLatencyAt = now
 }
 
@@ -128,8 +139,11 @@
 	// slots is the number of slots, reduced while the backend server is cold.
 	slots float64
 	// occupied estimates the number of running and waiting calls of all nodes.
-	occupied    float64
+	occupied float64
+	// meanLatency is the mean latency of calls, divided by their mean slowdown if the backend server tells it. Slowdown is
+	// the one to be expected now, 1 if none is told.
 	meanLatency time.Duration
+	slowdown    float64
 	// meanLatencyAge is the time since the last update of meanLatency.
 	meanLatencyAge time.Duration
 	errorRate      float64
@@ -141,7 +155,10 @@
 func (s *ServerStats) snapshot(now time.Time) snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, avoid: now.Before(s.avoidUntil)}
+	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, slowdown: s.word.At(now), avoid: now.Before(s.avoidUntil)}
+	if s.meanSlowdown > 0 {
+		snap.meanLatency = time.Duration(float64(s.meanLatency) / s.meanSlowdown)
+	}
 	if now.Before(s.coldUntil) {
 		snap.slots /= coldSlowdown
 	}
