--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -14,6 +14,7 @@
 	duration prometheus.Histogram
 	sends    prometheus.Counter
 	refusals prometheus.Counter
+	passedOn prometheus.Counter
 }
 
 // NewMetrics registers the metrics of an ingress.
@@ -36,8 +37,12 @@
 			Name: "samphireflow_ingress_gate_refusals_total",
 			Help: "Refusals by gates for want of room.",
 		}),
+		passedOn: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "samphireflow_ingress_passed_on_total",
+			Help: "Attempts that a gate with a free slot refused because its machine is slow at this moment.",
+		}),
 	}
-	registry.MustRegister(m.calls, m.duration, m.sends, m.refusals)
+	registry.MustRegister(m.calls, m.duration, m.sends, m.refusals, m.passedOn)
 	return m
 }
 
@@ -56,4 +61,5 @@
 	m.duration.Observe(duration.Seconds())
 	m.sends.Add(float64(d.sends))
 	m.refusals.Add(float64(d.attempts.refusals()))
+	m.passedOn.Add(float64(d.slowRefusals))
 }
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -30,6 +30,14 @@
 	return stats
 }
 
+// tell lets the gate of a backend server tell its slowdown.
+func tell(stats *ServerStats, slowdown float64, at time.Time) {
+	stats.Begin(at)
+	result := refusal(calls.ReasonFull)
+	result.Load = &calls.Load{Slots: 10, Slowdown: slowdown}
+	stats.End(result, at)
+}
+
 func answer(status int, latency time.Duration) *calls.Result {
 	return &calls.Result{Outcome: calls.Answered, Response: &exchange.Response{Status: status}, Latency: latency}
 }
@@ -53,11 +61,17 @@
 	draining := statsOf(fast, 0)
 	draining.Begin(now)
 	draining.End(refusal(calls.ReasonDraining), now)
+	slowNow := statsOf(fast, 0)
+	tell(slowNow, 1, now.Add(-time.Second))
+	tell(slowNow, 10, now)
+	usually := statsOf(2*fast, 0)
+	tell(usually, 2, now)
 	for _, c := range []struct {
 		name       string
 		candidates []Candidate
 		want       int
 	}{
+		{"not the one that is slow at this moment", []Candidate{{Stats: slowNow, Local: true}, {Stats: usually}}, 1},
 		{"the local one, if it can answer in time", []Candidate{{Stats: statsOf(fast, 0)}, {Stats: statsOf(fast, 3), Local: true}}, 1},
 		{"a remote one, if the local one is slow", []Candidate{{Stats: statsOf(fast, 0)}, {Stats: statsOf(slow, 0), Local: true}}, 0},
 		{"a remote one, if the local one is full", []Candidate{{Stats: statsOf(fast, 0)}, {Stats: statsOf(100*time.Millisecond, 25), Local: true}}, 0},
@@ -96,3 +110,32 @@
 	later := now.Add(10 * statsHalfLife)
 	require.Equal(t, 0, Choose(candidates, objective, noJitter, later), "an old latency no longer counts")
 }
+
+// TestSlowMomentPasses covers a machine that is slow for less time than it takes to hear of it again.
+func TestSlowMomentPasses(t *testing.T) {
+	slow, other := statsOf(60*time.Millisecond, 0), statsOf(60*time.Millisecond, 0)
+	for i := range 20 {
+		tell(slow, 1, now.Add(time.Duration(i-20)*100*time.Millisecond))
+		tell(other, 1, now.Add(time.Duration(i-20)*100*time.Millisecond))
+	}
+	tell(slow, 12, now)
+	candidates := []Candidate{{Stats: slow, Local: true}, {Stats: other}}
+	require.Equal(t, 1, Choose(candidates, objective, noJitter, now))
+	later := now.Add(3 * time.Second)
+	require.Equal(t, 0, Choose(candidates, objective, noJitter, later), "the word is old")
+}
+
+// TestCallsOfOtherNodesAreExpectedBetweenReports covers a busy backend server of which a node has not heard for a second: it is
+// as busy as it usually is, not empty.
+func TestCallsOfOtherNodesAreExpectedBetweenReports(t *testing.T) {
+	busy, free := statsOf(100*time.Millisecond, 0), statsOf(100*time.Millisecond, 0)
+	for range 100 {
+		tell(free, 1, now)
+		result := refusal(calls.ReasonFull)
+		result.Load = &calls.Load{Running: 10, Waiting: 20, Slots: 10, Slowdown: 1}
+		busy.Begin(now)
+		busy.End(result, now)
+	}
+	tell(busy, 1, now)
+	require.Equal(t, 1, Choose([]Candidate{{Stats: busy, Local: true}, {Stats: free}}, objective, noJitter, now.Add(2*time.Second)))
+}
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -12,6 +12,8 @@
 const (
 	// reportHalfLife is the age at which a gate's report of the calls of other nodes counts half.
 	reportHalfLife = 400 * time.Millisecond
+	// otherCallsWeight is the weight of the latest report in the moving average of the calls of other nodes.
+	otherCallsWeight = 0.05
 	// latencyWeight is the weight of the latest call in the moving average of a backend server's latency.
 	latencyWeight = 0.1
 	// statsHalfLife is the age at which a moving average that no call has updated counts half. The mean over all backend
@@ -42,6 +44,8 @@
 	// otherCalls is the number of running and waiting calls of other nodes that the gate reported at reportedAt.
 	otherCalls int
 	reportedAt time.Time
+	// meanOtherCalls is the moving average of otherCalls over the reports of a backend server that tells its slowdown.
+	meanOtherCalls float64
 	// meanLatency is the moving average of the latency of calls without an error, 0 before the first; meanLatencyAt is
 	// the time of its last update.
 	meanLatency   time.Duration
@@ -84,6 +88,9 @@
 		s.otherCalls = max(result.Load.Running+result.Load.Waiting-s.ownCalls, 0)
 		s.reportedAt = now
 		s.word.Hear(result.Load.Slowdown, now)
+		if s.word.Told() {
+			s.meanOtherCalls += otherCallsWeight * (float64(s.otherCalls) - s.meanOtherCalls)
+		}
 		if s.unreachableInRow > 0 {
 			s.unreachableInRow = 0
 			s.avoidUntil = now
@@ -162,7 +169,7 @@
 	if now.Before(s.coldUntil) {
 		snap.slots /= coldSlowdown
 	}
-	snap.occupied += float64(s.otherCalls) * decay(now.Sub(s.reportedAt), reportHalfLife)
+	snap.occupied += s.meanOtherCalls + (float64(s.otherCalls)-s.meanOtherCalls)*decay(now.Sub(s.reportedAt), reportHalfLife)
 	snap.meanLatencyAge = now.Sub(s.meanLatencyAt)
 	snap.errorRate = s.errorRate * decay(now.Sub(s.errorRateAt), statsHalfLife)
 	return snap
