Treat the link of an instance as a queue for long responses

Cause: exports of 90 kB on average fill links of 21 Mbit/s while slots are free, and short answers wait behind them. Change: the gate counts bytes promised, refuses what the link would send too late, sends long responses in pieces between which short ones pass, holds them within an account so that slots are free, and tells nodes the wait for its link. In force for routes with long responses where the capacity of the link is known.

--- a/internal/calls/call.go
+++ b/internal/calls/call.go
@@ -32,6 +32,10 @@
 	Repeated bool
 	// Customer is the name of the customer whose key the caller presented, empty for a call without one.
 	Customer string
+	// LongResponse is set if the response is so long that the link of an instance limits such calls.
+	LongResponse bool
+	// HoldBody is that of the request to the backend server.
+	HoldBody func(length int64) bool
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// Objective is the time by which the response should arrive: the start of the call plus the route's latency objective.
@@ -54,6 +58,7 @@
 		StreamLength: c.StreamLength,
 		EchoHeader:   echo,
 		FreshConn:    !c.Idempotent,
+		HoldBody:     c.HoldBody,
 	}
 }
 
--- a/internal/calls/headers.go
+++ b/internal/calls/headers.go
@@ -57,6 +57,8 @@
 	HopCallHeader   = "Sf-Call"
 	HopTimesHeader  = "Sf-Times"
 	HopResultHeader = "Sf-Result"
+	// HopLongHeader is set in calls with a long response only.
+	HopLongHeader = "Sf-Long"
 )
 
 // hopByHop lists the header fields that apply to a single connection (RFC 9110, section 7.6.1).
@@ -79,7 +81,7 @@
 	listed := connectionHeaders(header)
 	forwarded := make(http.Header, len(header))
 	for name, values := range header {
-		if hopByHop[name] || listed[name] || name == HopCallHeader || name == HopTimesHeader || name == HopResultHeader {
+		if hopByHop[name] || listed[name] || name == HopCallHeader || name == HopTimesHeader || name == HopResultHeader || name == HopLongHeader {
 			continue
 		}
 		forwarded[name] = values
--- a/internal/calls/hop_metadata.go
+++ b/internal/calls/hop_metadata.go
@@ -19,6 +19,8 @@
 	Priority   int
 	Idempotent bool
 	Repeated   bool
+	// LongResponse is set if the response is so long that the link of the gate's instance limits such calls.
+	LongResponse bool
 	// Customer is the name of the customer, empty for a call without one.
 	Customer  string
 	Objective time.Duration
@@ -41,6 +43,9 @@
 func (h HopMetadata) Write(header http.Header) {
 	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), formatBool(h.Idempotent), formatBool(h.Repeated), url.PathEscape(h.Customer)}, " "))
 	header.Set(HopTimesHeader, strings.Join([]string{formatMilliseconds(h.Objective), formatMilliseconds(h.Deadline), formatMilliseconds(h.FinishBy)}, " "))
+	if h.LongResponse {
+		header.Set(HopLongHeader, formatBool(true))
+	}
 }
 
 func formatBool(b bool) string {
@@ -60,7 +65,7 @@
 	if len(fields) != hopCallFieldCount {
 		return HopMetadata{}, errors.Errorf("%q does not have %d fields", header.Get(HopCallHeader), hopCallFieldCount)
 	}
-	h := HopMetadata{Idempotent: fields[3] == "1", Repeated: fields[4] == "1"}
+	h := HopMetadata{Idempotent: fields[3] == "1", Repeated: fields[4] == "1", LongResponse: header.Get(HopLongHeader) == "1"}
 	var err error
 	if h.Server, err = url.PathUnescape(fields[0]); err != nil {
 		return HopMetadata{}, errors.Wrap(err, "backend server")
--- a/internal/calls/hop_metadata_test.go
+++ b/internal/calls/hop_metadata_test.go
@@ -28,6 +28,8 @@
 			Objective:  duration("objective"),
 			Deadline:   duration("deadline"),
 			FinishBy:   duration("finish by"),
+
+			LongResponse: rapid.Bool().Draw(t, "long response"),
 		}
 		header := http.Header{}
 		sent.Write(header)
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -15,6 +15,7 @@
 	"samphireflow/internal/gate"
 	"samphireflow/internal/hop"
 	"samphireflow/internal/ingress"
+	"samphireflow/internal/link"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
@@ -58,7 +59,7 @@
 		gate: gate.New(gate.Options{
 			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
 			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
-			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Link: link.New(s.LinkMbps, time.Now), Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
@@ -66,6 +67,7 @@
 		Name: "samphireflow_gate_paced_refusals_total",
 		Help: "Calls that the gate refused because the backend server is cold.",
 	}, func() float64 { return float64(g.gate.PacedRefusals()) }))
+	g.gate.RegisterMetrics(registry)
 	g.service = proxy.NewPeerService(n, g.suspects)
 	g.ingress = ingress.New(ingress.Options{
 		Instance:      s.Instance,
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -121,19 +121,20 @@
 	return e.readBody(response)
 }
 
-// readBody reads the body of a response up to maxBufferedBody. What follows becomes Rest.
+// readBody reads the body of a response up to maxBufferedBody, or whole if it is to be held. What follows becomes Rest.
 func (e *activeExchange) readBody(received *http.Response) (*Response, error) {
 	response := &Response{Status: received.StatusCode, Header: received.Header, Length: received.ContentLength}
 	if hasNoBody(e.request.Method, received.StatusCode) {
 		e.complete(received)
 		return response, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(received.Body, maxBufferedBody+1))
+	limit := e.bufferLimit(received.ContentLength)
+	body, err := io.ReadAll(io.LimitReader(received.Body, limit+1))
 	if err != nil {
 		return nil, err
 	}
 	response.Body = body
-	if len(body) <= maxBufferedBody {
+	if int64(len(body)) <= limit {
 		response.Length = int64(len(body))
 		e.complete(received)
 		return response, nil
@@ -142,6 +143,14 @@
 	return response, nil
 }
 
+// bufferLimit returns the length up to which a body is buffered, by the length that the header tells.
+func (e *activeExchange) bufferLimit(length int64) int64 {
+	if length > maxBufferedBody && e.request.HoldBody != nil && e.request.HoldBody(length) {
+		return length
+	}
+	return maxBufferedBody
+}
+
 // complete ends an exchange whose response was read completely. It returns the connection to the pool if it can be
 // reused. A connection cannot be reused if the response came before the whole request body was sent.
 func (e *activeExchange) complete(response *http.Response) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/exchange"
+	"samphireflow/internal/link"
 )
 
 const (
@@ -49,7 +50,9 @@
 	// ColdOverrun and ColdSlack say how far the calls to a cold backend server may exceed its rate; see coldLimit.
 	ColdOverrun, ColdSlack float64
 	// Stop decides which calls of other nodes are taken during a planned stop of this node; nil takes all.
-	Stop   *calls.StopAdmission
+	Stop *calls.StopAdmission
+	// Link is the network link of this instance, nil if its capacity is not known.
+	Link   *link.Link
 	Logger zerolog.Logger
 	Now    func() time.Time
 }
@@ -104,7 +107,7 @@
 }
 
 func (g *Gate) load() calls.Load {
-	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots(), Slowdown: g.queue.slowdown(g.options.Now())}
+	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots(), Slowdown: g.queue.slowdown(g.options.Now()), LinkWait: g.options.Link.Wait()}
 }
 
 // RepeatedShare returns the share of retries among the latest runs, from 0 to 1.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -28,8 +29,19 @@
 		WriteResult(w, f.call.ID, g.options.Headers, refusal(calls.ReasonDraining, "this node stops before the call must end"))
 		return
 	}
+	transfer, refused := g.promise(f)
+	if refused != nil {
+		WriteResult(w, f.call.ID, g.options.Headers, refused)
+		return
+	}
+	if transfer != nil {
+		defer transfer.End()
+		f.call.HoldBody = transfer.Hold
+	}
 	result := g.Pass(r.Context(), f.call, f.instance, f.finishBy)
-	WriteResult(w, f.call.ID, g.options.Headers, result)
+	ctx, cancel := context.WithDeadline(r.Context(), f.call.Deadline)
+	defer cancel()
+	WriteResult(g.onLink(ctx, w, f.call, transfer, result.Response), f.call.ID, g.options.Headers, result)
 }
 
 // readForwardedCall reads the call and its metadata. The other node sends times as remaining durations, so that the clocks
@@ -57,6 +69,8 @@
 		Priority:   metadata.Priority,
 		Objective:  now.Add(metadata.Objective),
 		Deadline:   now.Add(metadata.Deadline),
+
+		LongResponse: metadata.LongResponse,
 	}
 	body.AssignTo(call)
 	return &forwardedCall{call: call, instance: metadata.Server, finishBy: now.Add(metadata.FinishBy)}, nil
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -154,6 +154,8 @@
 			Stats: server.Stats,
 			Local: server.Info.FailureDomain == d.ingress.options.FailureDomain,
 			Tried: d.tried[server.Info.Instance],
+
+			LongResponse: d.call.LongResponse,
 		}
 	}
 	return candidates
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -138,6 +138,8 @@
 		Priority:   route.Settings.Priority,
 		Objective:  arrived.Add(route.Settings.Objective),
 		Deadline:   arrived.Add(timeout),
+
+		LongResponse: route.Settings.LongResponses,
 	}
 	if caller != nil {
 		c.Customer = caller.Name
--- a/internal/ingress/peer_gates.go
+++ b/internal/ingress/peer_gates.go
@@ -51,6 +51,8 @@
 		Objective:  c.Objective.Sub(now),
 		Deadline:   c.Deadline.Sub(now),
 		FinishBy:   finishBy.Sub(now),
+
+		LongResponse: c.LongResponse,
 	}.Write(header)
 	return c.Request(header, p.headers.RequestID)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -37,6 +37,8 @@
 	Stats *ServerStats
 	// Local says that the backend server is in the node's own failure domain.
 	Local bool
+	// LongResponse says that the call has a long response, which waits for the link of the instance.
+	LongResponse bool
 	// Tried says that the backend server has already refused the call.
 	Tried bool
 }
@@ -61,7 +63,11 @@
 	best, bestCost := -1, 0.0
 	for i, candidate := range candidates {
 		if !candidate.Tried && snapshots[i].avoid == avoidAll {
-			relative := snapshots[i].expectedLatency(serviceMean) / float64(max(objective, time.Millisecond))
+			expected := snapshots[i].expectedLatency(serviceMean)
+			if candidate.LongResponse {
+				expected = max(expected, snapshots[i].linkWait)
+			}
+			relative := expected / float64(max(objective, time.Millisecond))
 			cost := relative*relative + errorCost*snapshots[i].errorRate + jitter*random()
 			if !candidate.Local {
 				cost += remoteCost
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -139,3 +139,20 @@
 	tell(busy, 1, now)
 	require.Equal(t, 1, Choose([]Candidate{{Stats: busy, Local: true}, {Stats: free}}, objective, noJitter, now.Add(2*time.Second)))
 }
+
+// TestLongResponsesGoToFreeLinks covers an instance whose link is busy for a second: calls with long responses go elsewhere, others
+// do not, as short responses are sent before long ones.
+func TestLongResponsesGoToFreeLinks(t *testing.T) {
+	busy, free := statsOf(60*time.Millisecond, 0), statsOf(60*time.Millisecond, 0)
+	result := refusal(calls.ReasonFull)
+	result.Load = &calls.Load{Slots: 10, LinkWait: time.Second}
+	busy.Begin(now)
+	busy.End(result, now)
+	for _, c := range []struct {
+		long bool
+		want int
+	}{{false, 0}, {true, 1}} {
+		candidates := []Candidate{{Stats: busy, Local: true, LongResponse: c.long}, {Stats: free, LongResponse: c.long}}
+		require.Equal(t, c.want, Choose(candidates, objective, noJitter, now))
+	}
+}
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -55,6 +55,8 @@
 	reportedAt time.Time
 	// meanOtherCalls is the moving average of otherCalls over the reports of a backend server that tells its slowdown.
 	meanOtherCalls float64
+	// linkWait is the time that the gate reported at reportedAt for the link of its instance.
+	linkWait time.Duration
 	// meanLatency is the moving average of the latency of calls without an error, 0 before the first; meanLatencyAt is
 	// the time of its last update.
 	meanLatency   time.Duration
@@ -112,6 +114,7 @@
 	if result.Load != nil {
 		s.otherCalls = max(result.Load.Running+result.Load.Waiting-s.ownCalls, 0)
 		s.reportedAt = now
+		s.linkWait = result.Load.LinkWait
 		s.word.Hear(result.Load.Slowdown, now)
 		if s.word.Told() {
 			s.meanOtherCalls += otherCallsWeight * (float64(s.otherCalls) - s.meanOtherCalls)
@@ -180,6 +183,8 @@
 	// the one to be expected now, 1 if none is told.
 	meanLatency time.Duration
 	slowdown    float64
+	// linkWait is the time that the link of the instance takes for the long responses that are promised, in nanoseconds.
+	linkWait float64
 	// meanLatencyAge is the time since the last update of meanLatency.
 	meanLatencyAge time.Duration
 	errorRate      float64
@@ -202,6 +207,7 @@
 		snap.paced = s.coldRate > 0
 	}
 	snap.occupied += s.meanOtherCalls + (float64(s.otherCalls)-s.meanOtherCalls)*decay(now.Sub(s.reportedAt), reportHalfLife)
+	snap.linkWait = float64(s.linkWait) * decay(now.Sub(s.reportedAt), reportHalfLife)
 	snap.meanLatencyAge = now.Sub(s.meanLatencyAt)
 	snap.errorRate = s.errorRate * decay(now.Sub(s.errorRateAt), statsHalfLife)
 	return snap
