--- a/internal/daemon/gate_terms.go
+++ b/internal/daemon/gate_terms.go
@@ -12,7 +12,7 @@
 // gateTerms returns what a routing table, which may be nil, says of the calls to a backend server.
 func gateTerms(table *routing.Table, server *apiv1.BackendServer) gate.Terms {
 	if table == nil {
-		return gate.Terms{}
+		return gate.Terms{Unknown: true}
 	}
 	terms := gate.Terms{
 		Evacuated:       table.Evacuated[server.FailureDomain],
--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -10,8 +10,14 @@
 	"samphireflow/internal/member"
 )
 
+// unknownPaceWait is the time after which a call is worth another try while the pace of a cold backend server is not known. A
+// node that starts gets its configuration about as fast.
+const unknownPaceWait = 200 * time.Millisecond
+
 // Terms are what the configuration says of the calls to a backend server.
 type Terms struct {
+	// Unknown is set while this node has no configuration.
+	Unknown bool
 	// Evacuated is set while the failure domain of the backend server is evacuated; EvacuationEnded is the time at which this node
 	// learned of the end of its last evacuation.
 	Evacuated       bool
@@ -25,9 +31,10 @@
 // coldState is what the gate knows of the coldness of the backend server beside it.
 type coldState struct {
 	pace *Pace
-	// rate and start are the last known terms.
-	rate  float64
-	start time.Duration
+	// rate and start are the last known terms. unknown is set while there is no configuration.
+	rate    float64
+	start   time.Duration
+	unknown bool
 	// told is the end of the coldness that a response of the backend server told of; suspected is the end of one that the gate
 	// suspects, because the backend server refused connections and so has started again.
 	told, suspected time.Time
@@ -45,7 +52,7 @@
 
 // noteTerms records the terms of the current backend server. The caller must hold mu.
 func (g *Gate) noteTerms(terms Terms) {
-	g.cold.rate, g.cold.start = terms.ColdRate, terms.ColdStart
+	g.cold.rate, g.cold.start, g.cold.unknown = terms.ColdRate, terms.ColdStart, terms.Unknown
 	if !terms.EvacuationEnded.IsZero() {
 		// Without calls nobody has seen whether the backend server has become cold.
 		g.cold.suspect(terms.EvacuationEnded.Add(terms.ColdStart))
@@ -78,10 +85,13 @@
 func (g *Gate) checkPace(take bool) *calls.Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.options.Now()
+	if g.cold.unknown && g.options.ColdOverrun > 0 && now.Before(g.coldUntil()) {
+		return g.pacedRefusal(unknownPaceWait)
+	}
 	if g.cold.rate <= 0 {
 		return nil
 	}
-	now := g.options.Now()
 	limit := coldLimit(g.cold.rate, g.options.ColdOverrun, g.options.ColdSlack)
 	if until := g.coldUntil(); now.Before(until) {
 		if until.After(g.cold.logged) {
@@ -90,10 +100,7 @@
 			g.cold.logged = until.Add(paceWindow)
 		}
 		if wait := g.cold.pace.Wait(limit, now); wait > 0 {
-			g.pacedRefusals.Add(1)
-			result := refusal(calls.ReasonCold, "the backend server is cold")
-			result.RetryAfter = wait
-			return result
+			return g.pacedRefusal(wait)
 		}
 	}
 	if take {
@@ -102,6 +109,14 @@
 	return nil
 }
 
+// pacedRefusal counts and returns the refusal of a call that the backend server can take after the given time.
+func (g *Gate) pacedRefusal(wait time.Duration) *calls.Result {
+	g.pacedRefusals.Add(1)
+	result := refusal(calls.ReasonCold, "the backend server is cold")
+	result.RetryAfter = wait
+	return result
+}
+
 // PacedRefusals returns the number of calls that were refused because the backend server was cold.
 func (g *Gate) PacedRefusals() uint64 {
 	return g.pacedRefusals.Load()
--- a/internal/gate/pace_test.go
+++ b/internal/gate/pace_test.go
@@ -166,6 +166,18 @@
 	require.Equal(t, 100, c.press(t, 100, calls.ReasonNone))
 }
 
+// TestColdServerGetsNoCallsBeforeItsPaceIsKnown: a node that starts beside a cold backend server has no configuration for a moment.
+// In a deployment without a bound for cold backend servers, and for a warm one, the calls of others are served meanwhile.
+func TestColdServerGetsNoCallsBeforeItsPaceIsKnown(t *testing.T) {
+	c := newColdGate(t)
+	c.terms = Terms{Unknown: true}
+	require.Equal(t, 20, c.press(t, 20, calls.ReasonNone))
+	c.coldUntil = c.clock.Add(3 * time.Second)
+	require.Zero(t, c.press(t, 20, calls.ReasonCold))
+	c.gate.options.ColdOverrun = 0
+	require.Equal(t, 20, c.press(t, 20, calls.ReasonNone))
+}
+
 // TestGateBelievesAResponseThatTellsOfColdness: a backend server may become cold at any moment, and tells so before its next
 // heartbeat. Words that cannot be read change nothing.
 func TestGateBelievesAResponseThatTellsOfColdness(t *testing.T) {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/placement"
 )
 
 func TestMatchPrefersExactThenLongestWildcard(t *testing.T) {
@@ -110,3 +111,35 @@
 	again := Build(snap(), servers, registry)
 	require.Equal(t, table.EvacuationEnds, again.EvacuationEnds)
 }
+
+// TestColdServersAreAvoidedOnceTheyAreKnown: a record that tells of another coldness, and the end of an evacuation, make a node
+// prefer the other backend servers; a service without a rate is served as before.
+func TestColdServersAreAvoidedOnceTheyAreKnown(t *testing.T) {
+	server := func(instance, domain string, coldMs uint32) *apiv1.BackendServer {
+		return &apiv1.BackendServer{Instance: instance, Service: "rota", State: apiv1.ServerState_SERVER_STATE_READY, FailureDomain: domain, Slots: 4, ColdMs: coldMs}
+	}
+	for _, rate := range []string{"12", "0"} {
+		snap := func(evacuated ...string) *apiv1.Snapshot {
+			return &apiv1.Snapshot{FailureDomain: "hobart", EvacuatedDomains: evacuated, Services: []*apiv1.ServiceConfig{{
+				Name: "rota", Settings: []*apiv1.Setting{{Key: "service.cold-start", Value: "3s"}, {Key: "service.cold-rate", Value: rate}},
+			}}}
+		}
+		local := func(table *Table) bool {
+			servers := table.Service("rota").Ready
+			var candidates []placement.Candidate
+			for _, s := range servers {
+				candidates = append(candidates, placement.Candidate{Stats: s.Stats, Local: s.Info.FailureDomain == "hobart"})
+			}
+			return servers[placement.Choose(candidates, time.Second, func() float64 { return 0 }, time.Now())].Info.FailureDomain == "hobart"
+		}
+		paced := rate != "0"
+		warm, other := server("a", "hobart", 0), server("b", "burnie", 0)
+		registry := NewRegistry()
+		require.True(t, local(Build(snap(), []*apiv1.BackendServer{warm, other}, registry)))
+		require.Equal(t, !paced, local(Build(snap(), []*apiv1.BackendServer{server("a", "hobart", 3000), other}, registry)), "cold again")
+
+		registry = NewRegistry()
+		Build(snap("hobart"), []*apiv1.BackendServer{warm, other}, registry)
+		require.Equal(t, !paced, local(Build(snap(), []*apiv1.BackendServer{warm, other}, registry)), "after an evacuation")
+	}
+}
