--- a/api/v1/replication.twirp.go
+++ b/api/v1/replication.twirp.go
@@ -783,7 +783,7 @@
 }
 
 func (s *replicationServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *replicationServer) ProtocGenTwirpVersion() string {
@@ -797,7 +797,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Replication")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 953 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0x4b, 0x6f, 0xe3, 0x44,
 	0x1c, 0xc7, 0x89, 0xf3, 0xf0, 0xdf, 0x69, 0xf1, 0x0e, 0xbb, 0x5d, 0xf7, 0xc5, 0x06, 0x23, 0xa4,
--- a/api/v1/traffic.twirp.go
+++ b/api/v1/traffic.twirp.go
@@ -1344,7 +1344,7 @@
 }
 
 func (s *trafficServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor7, 0
+	return twirpFileDescriptor8, 0
 }
 
 func (s *trafficServer) ProtocGenTwirpVersion() string {
@@ -1358,7 +1358,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Traffic")
 }
 
-var twirpFileDescriptor7 = []byte{
+var twirpFileDescriptor8 = []byte{
 	// 458 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x54, 0xcd, 0x6e, 0xd3, 0x40,
 	0x10, 0x96, 0x1b, 0x3b, 0x49, 0xa7, 0x2d, 0x85, 0xa5, 0x48, 0xc6, 0x15, 0x60, 0x16, 0x0e, 0x91,
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -18,6 +18,7 @@
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
+	"samphireflow/internal/quota"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/suspect"
 )
@@ -42,6 +43,7 @@
 	ingress  *ingress.Ingress
 	suspects *suspect.Tracker
 	service  *proxy.PeerService
+	quotas   *quota.Keeper
 	stop     *calls.StopAdmission
 }
 
@@ -60,6 +62,7 @@
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
+	g.quotas = newQuotaKeeper(s, n, registry, logger)
 	g.service = proxy.NewPeerService(n, g.suspects)
 	g.ingress = ingress.New(ingress.Options{
 		Instance:      s.Instance,
@@ -70,6 +73,7 @@
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
 		Suspects:      g.suspects,
+		Quotas:        g.quotas,
 		Stop:          stop,
 		Metrics:       ingress.NewMetrics(registry),
 		Logger:        logger,
@@ -79,10 +83,12 @@
 	return g
 }
 
-// register mounts the twirp service that other nodes and the platform call.
+// register mounts the twirp services that other nodes and the platform call.
 func (g *gatedTraffic) register(mux *http.ServeMux) {
 	service := apiv1.NewTrafficServer(g.service)
 	mux.Handle(service.PathPrefix(), service)
+	quotas := apiv1.NewQuotasServer(quota.NewService(g.quotas))
+	mux.Handle(quotas.PathPrefix(), quotas)
 }
 
 // serveGatedTraffic serves callers and other nodes until ctx ends, then stops without interrupting calls. At once the node
@@ -107,6 +113,7 @@
 	group.Go(callerListener.serve)
 	group.Go(gateListener.serve)
 	group.Go(func() error { return d.gatedTraffic.suspects.Run(groupCtx) })
+	group.Go(func() error { return d.gatedTraffic.quotas.Run(groupCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,8 +55,14 @@
 		i.refuse(w, r, &dispatch{table: table, call: c, service: route.Config.Service}, notRun("this node stops before the call must end", minRetryAfter))
 		return
 	}
+	counted, refused := i.takeQuota(r.Context(), caller)
+	if refused != nil {
+		i.refuse(w, r, &dispatch{table: table, call: c, service: route.Config.Service}, refused)
+		return
+	}
 	d := &dispatch{ingress: i, table: table, route: route, call: c, arrived: arrived, service: pickService(route, i.options.Random)}
 	response, refused := d.run(r.Context())
+	i.returnQuota(d, counted)
 	i.options.Metrics.observe(d, refused, i.options.Now().Sub(arrived))
 	if r.Context().Err() != nil && response == nil {
 		// The caller has closed its connection. Aborting the handler closes this side too, so that whoever still reads
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -39,6 +39,8 @@
 	Retries  RetryLimits
 	Headers  calls.Headers
 	Suspects Suspects
+	// Quotas counts the calls of customers; nil allows all.
+	Quotas Quotas
 	// Stop decides which calls are taken during a planned stop of the node; nil takes all.
 	Stop    *calls.StopAdmission
 	Metrics *Metrics
--- /dev/null
+++ b/internal/quota/bucket.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"time"
+)
+
+// bucket holds the tokens of one customer at one ledger.
+type bucket struct {
+	tokens    float64
+	allowance allowance
+	settled   time.Time
+	demand    demand
+	// served is the time by which all refused calls could have had a token, if all of them waited.
+	served time.Time
+}
+
+// settle adds the tokens that have accrued. Weight is the sum of the loans since the last settlement.
+func (b *bucket) settle(weight float64, now time.Time) {
+	if passed := now.Sub(b.settled); passed > 0 {
+		b.tokens += b.allowance.rate * weight * passed.Seconds()
+		b.settled = now
+	}
+	b.limit(weight)
+}
+
+// limit removes the tokens that do not fit.
+func (b *bucket) limit(weight float64) {
+	b.tokens = min(b.tokens, b.allowance.depth*weight)
+}
+
+// adopt sets the allowance. What accrued until now accrued by the old one; a smaller depth applies at once.
+func (b *bucket) adopt(a allowance, weight float64, now time.Time) {
+	if b.allowance == a {
+		return
+	}
+	b.settle(weight, now)
+	b.allowance = a
+	b.limit(weight)
+}
+
+// take removes up to n whole tokens and returns their number.
+func (b *bucket) take(n int) int {
+	taken := min(max(int(b.tokens), 0), n)
+	b.tokens -= float64(taken)
+	return taken
+}
+
+// refuse records refused calls and returns the time after which one of them would probably get a token.
+func (b *bucket) refuse(refused int, weight float64, now time.Time) time.Duration {
+	rate := b.allowance.rate * weight
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	if b.served.Before(now) {
+		b.served = now.Add(time.Duration(max(-b.tokens, 0) / rate * float64(time.Second)))
+	}
+	b.served = b.served.Add(time.Duration(float64(refused) / rate * float64(time.Second)))
+	if limit := now.Add(maxRetryAfter); b.served.After(limit) {
+		b.served = limit
+	}
+	return b.served.Sub(now)
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -54,6 +54,7 @@
 	routes    *routeSet
 	// nodeAddrs holds the control addresses that NodeAddrs returns.
 	nodeAddrs []string
+	nodes     []Node
 }
 
 // Build returns the table of a validated configuration snapshot and the announced backend servers. The registry keeps
@@ -70,6 +71,7 @@
 	t.Customers = registry.nextCustomers(snap).directory
 	t.CallerLimits = parseCallerLimits(snap.Settings)
 	t.nodeAddrs = controlAddrs(servers)
+	t.nodes = listNodes(servers)
 	return t
 }
 
