--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -39,6 +39,7 @@
 	// crossBytes counts the payload between failure domains, messages all messages.
 	crossBytes, messages int
 	epochs               uint64
+	closed               bool
 }
 
 // member is a node of a fleet.
@@ -53,30 +54,35 @@
 }
 
 // newFleet starts a fleet with the given number of nodes in each of three failure domains.
-func newFleet(t *testing.T, perDomain int, customers []*customer.Customer, seed uint64) *fleet {
+func newFleet(t *testing.T, perDomain int, slack float64, customers []*customer.Customer, seed uint64) *fleet {
 	f := &fleet{
-		terms:  Terms{Window: 5 * time.Second, Overrun: 0.1, Slack: 20},
+		terms:  Terms{Window: 5 * time.Second, Overrun: 0.1, Slack: slack},
 		random: rand.New(rand.NewPCG(seed, 1)), customers: map[string]*customer.Customer{}, cutDomains: map[string]bool{},
 		offered: map[string][]time.Time{}, allowed: map[string][]time.Time{},
 	}
 	f.setCustomers(customers...)
 	for _, domain := range []string{"a", "b", "c"} {
 		for i := range perDomain {
-			f.members = append(f.members, &member{addr: fmt.Sprintf("%s-%d", domain, i), domain: domain})
+			f.members = append(f.members, &member{addr: fmt.Sprintf("%s-%d", domain, i), domain: domain, down: true})
 		}
 	}
-	f.publish()
 	for _, m := range f.members {
 		f.start(m)
 	}
+	f.publish()
 	t.Cleanup(f.close)
 	return f
 }
 
+// close stops all processes and lets the messages under way arrive.
 func (f *fleet) close() {
+	f.mu.Lock()
+	f.closed = true
 	for _, m := range f.members {
 		m.stop()
 	}
+	f.mu.Unlock()
+	time.Sleep(20 * time.Second)
 }
 
 // setCustomers adds customers or changes their quotas, at all nodes at once.
@@ -101,26 +107,40 @@
 
 // publish tells all nodes which nodes are up. Nodes that are cut off keep what they knew.
 func (f *fleet) publish() {
+	for _, m := range f.members {
+		f.publishTo(m)
+	}
+}
+
+// publishTo tells one node which nodes are up.
+func (f *fleet) publishTo(m *member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.members {
-		var known []routing.Node
-		for _, other := range f.members {
-			if !other.down && f.connected(m.domain, other.domain) {
-				known = append(known, routing.Node{Addr: other.addr, FailureDomain: other.domain})
-			}
+	var known []routing.Node
+	for _, other := range f.members {
+		if !other.down && f.connected(m.domain, other.domain) {
+			known = append(known, routing.Node{Addr: other.addr, FailureDomain: other.domain})
 		}
-		m.known = known
 	}
+	m.known = known
+}
+
+func (f *fleet) setDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
 }
 
 // start starts the process of a node.
 func (f *fleet) start(m *member) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed || !m.down {
+		return
+	}
 	f.epochs += 1 << 32
 	epoch := f.epochs
 	m.down = false
-	f.mu.Unlock()
 	keeper := NewKeeper(Options{
 		Addr: m.addr, FailureDomain: m.domain, Terms: f.terms, Epoch: epoch, Logger: zerolog.Nop(), Now: time.Now,
 		Nodes: func() []routing.Node {
@@ -136,9 +156,7 @@
 		Peer: fleetPeer{f, m},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	f.mu.Lock()
 	m.keeper, m.stop = keeper, cancel
-	f.mu.Unlock()
 	go func() { _ = keeper.Run(ctx) }()
 }
 
@@ -146,8 +164,10 @@
 func (f *fleet) kill(m *member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m.down = true
-	m.stop()
+	if !m.down {
+		m.down = true
+		m.stop()
+	}
 }
 
 func (f *fleet) freeze(m *member, d time.Duration) {
@@ -376,3 +396,11 @@
 func skewedName(i int) string {
 	return fmt.Sprintf("c%d", i)
 }
+
+// ownerOf returns the owner of a customer in a failure domain.
+func (f *fleet) ownerOf(name, domain string) *member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	addr := owner(f.members[0].known, ShardOf(name), func(n routing.Node) bool { return n.FailureDomain == domain })
+	return f.members[slices.IndexFunc(f.members, func(m *member) bool { return m.addr == addr })]
+}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -20,6 +20,8 @@
 	askTimeout = 100 * time.Millisecond
 	// unknownRetryAfter is the time after which a caller may retry if no owner could be asked.
 	unknownRetryAfter = 250 * time.Millisecond
+	// elsewherePause is the time for which a node does not ask owners in other failure domains after a refusal.
+	elsewherePause = time.Second
 	// maxStocks bounds the customers with tokens at this node. Stocks that hold nothing are dropped first.
 	maxStocks = 4096
 )
@@ -80,6 +82,8 @@
 type customerStock struct {
 	stock
 	asking bool
+	// elsewhereAfter is the time until which owners in other failure domains are not asked.
+	elsewhereAfter time.Time
 	// next is the round of the calls that wait for the next question.
 	next *round
 }
@@ -210,6 +214,7 @@
 		if r != nil {
 			r.granted, r.until, r.retryAfter, r.err = min(grant.Tokens, r.waiting), until, grant.RetryAfter, err
 			if err == nil && r.granted < r.waiting {
+				s.elsewhereAfter = answered.Add(elsewherePause)
 				s.refuse(max(grant.RetryAfter, minRetryAfter), answered)
 			}
 			close(r.done)
@@ -231,26 +236,26 @@
 	k.mu.Lock()
 	now := k.options.Now()
 	addr, loan := k.lenders[shardIndex].next(k.preferred(shardIndex, now), k.weight(), now)
+	isNew := k.lenders[shardIndex].newAt(now)
 	silent := addr == "" || k.silent.silent(addr, now)
 	k.mu.Unlock()
 	var known bool
 	var grant Grant
 	if !silent {
 		answer, err := k.send(addr, shardIndex, loan, []Want{want})
-		if err == nil && (answer.weight > 0 || answer.grants[0].Tokens > 0) {
-			return answer.grants[0], nil
-		}
 		if err == nil {
 			known, grant = true, answer.grants[0]
+			if grant.Tokens >= want.Waiting || answer.weight > 0 && !isNew {
+				return grant, nil
+			}
 		}
 	}
-	k.mu.Lock()
-	other := k.elsewhere(shardIndex, now)
-	k.mu.Unlock()
-	if other != "" && other != addr {
+	if other := k.otherOwner(want.Customer, now); other != "" {
 		k.options.Metrics.askedElsewhere()
+		want.Waiting -= grant.Tokens
 		if answer, err := k.send(other, shardIndex, Loan{}, []Want{want}); err == nil && answer.weight > 0 {
-			return answer.grants[0], nil
+			more := answer.grants[0]
+			return Grant{grant.Tokens + more.Tokens, more.RetryAfter}, nil
 		}
 	}
 	if known {
@@ -271,9 +276,15 @@
 	return addr
 }
 
-// elsewhere returns the owner of a shard in any other failure domain.
-func (k *Keeper) elsewhere(shardIndex int, now time.Time) string {
-	return owner(k.nodes(), shardIndex, func(n routing.Node) bool {
+// otherOwner returns the owner of a customer in any other failure domain, empty if there is none or if owners there have
+// lately had no tokens.
+func (k *Keeper) otherOwner(name string, now time.Time) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s := k.stock(name); now.Before(s.elsewhereAfter) {
+		return ""
+	}
+	return owner(k.nodes(), ShardOf(name), func(n routing.Node) bool {
 		return n.FailureDomain != k.options.FailureDomain && !k.silent.silent(n.Addr, now)
 	})
 }
@@ -340,11 +351,8 @@
 func (k *Keeper) learn(addr string, shardIndex int, sequence uint64, response *apiv1.QuotaAskResponse) {
 	now := k.options.Now()
 	k.headcount.record(int(min(response.Nodes, maxNodes)), now)
-	l := k.lenders[shardIndex]
-	first := !l.introduced(now)
-	l.answered(addr, sequence, response.Epoch, time.Duration(min(response.ClockUs, math.MaxInt64/1000))*time.Microsecond, now)
-	if first && l.introduced(now) || l.ended(now) {
-		l.sent = time.Time{}
+	clock := time.Duration(min(response.ClockUs, math.MaxInt64/1000)) * time.Microsecond
+	if k.lenders[shardIndex].answered(addr, sequence, response.Epoch, clock, now) {
 		select {
 		case k.wake <- struct{}{}:
 		default:
