--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -126,6 +126,7 @@
 		return k.decided(Decision{Allowed: true, Known: true, customer: c.Name, until: until})
 	}
 	if now.Before(s.refusedUntil) {
+		s.refused++
 		after := s.retryAt.Sub(now)
 		k.mu.Unlock()
 		return k.decided(Decision{Known: true, RetryAfter: max(after, minRetryAfter)})
@@ -204,6 +205,7 @@
 		if r != nil {
 			want.Waiting = r.waiting
 		}
+		want.Refused, s.refused = s.refused, 0
 		k.mu.Unlock()
 
 		grant, err := k.askOwner(want)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -17,7 +17,7 @@
 	minPullTokens = 2
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked to retry.
 	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
+	maxRetryAfter = 5 * time.Second
 )
 
 // Want asks for tokens of a customer.
@@ -26,6 +26,8 @@
 	// Waiting is the number of calls that wait for a token, Ahead the number of tokens for calls that are expected next.
 	Waiting int
 	Ahead   int
+	// Refused is the number of calls that the node has refused since its last question, by the answer to that one.
+	Refused int
 	Rate    float64
 	Burst   float64
 }
@@ -95,7 +97,7 @@
 	b.demand.add(want.Waiting, now)
 	granted := b.take(want.Waiting)
 	if refused := want.Waiting - granted; refused > 0 {
-		return Grant{Tokens: granted, RetryAfter: max(b.refuse(refused, s.weight, now), minRetryAfter)}
+		return Grant{Tokens: granted, RetryAfter: max(b.refuse(refused+want.Refused, s.weight, now), minRetryAfter)}
 	}
 	return Grant{Tokens: granted + b.take(min(want.Ahead, int(aheadShare*b.tokens)))}
 }
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -86,7 +86,7 @@
 		}
 		var grant Grant
 		if ShardOf(want.Customer) == shardIndex {
-			grant = k.ledger.Grant(shardIndex, Want{want.Customer, int(want.Waiting), int(want.Ahead), rate, burst}, now)
+			grant = k.ledger.Grant(shardIndex, Want{Customer: want.Customer, Waiting: int(want.Waiting), Ahead: int(want.Ahead), Refused: int(min(want.Refused, maxCalls)), Rate: rate, Burst: burst}, now)
 		}
 		k.notePull(shardIndex, want.Customer, k.options.Terms.allowance(rate, burst), now)
 		response.Grants = append(response.Grants, &apiv1.QuotaGrant{Tokens: uint32(grant.Tokens), RetryAfterMs: uint32(grant.RetryAfter.Milliseconds())})
@@ -117,7 +117,9 @@
 		}
 	}
 	for _, w := range wants {
-		request.Wants = append(request.Wants, &apiv1.QuotaWant{Customer: w.Customer, Waiting: uint32(w.Waiting), Ahead: uint32(w.Ahead), Rate: w.Rate, Burst: w.Burst})
+		request.Wants = append(request.Wants, &apiv1.QuotaWant{
+			Customer: w.Customer, Waiting: uint32(w.Waiting), Ahead: uint32(w.Ahead), Refused: uint32(w.Refused), Rate: w.Rate, Burst: w.Burst,
+		})
 	}
 	return request
 }
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -25,6 +25,8 @@
 	// refusedUntil is the time until which calls are refused without asking, retryAt when a refused one should come back.
 	refusedUntil time.Time
 	retryAt      time.Time
+	// refused is the number of calls that were refused without asking.
+	refused int
 }
 
 // take spends a token and reports whether there was one, with the time until which it may be given back. The lease that
