--- a/internal/ingress/authenticate_test.go
+++ b/internal/ingress/authenticate_test.go
@@ -26,6 +26,12 @@
 	if public {
 		snap.Routes[0].Settings = append(snap.Routes[0].Settings, &apiv1.Setting{Key: tree.KeyRoutePublic, Value: "true"})
 	}
+	f.rebuild()
+}
+
+// rebuild builds the routing table again, after a change of its snapshot.
+func (f *fixture) rebuild() {
+	snap := f.ingress.options.Table().Snapshot
 	var servers []*apiv1.BackendServer
 	for _, server := range f.ingress.options.Table().Service("rota").Ready {
 		servers = append(servers, server.Info)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -10,8 +10,6 @@
 	allowance allowance
 	settled   time.Time
 	demand    demand
-	// served is the time by which all refused calls could have had a token, if all of them waited.
-	served time.Time
 }
 
 // settle adds the tokens that have accrued. Weight is the sum of the loans since the last settlement.
@@ -45,18 +43,11 @@
 	return taken
 }
 
-// refuse records refused calls and returns the time after which one of them would probably get a token.
-func (b *bucket) refuse(refused int, weight float64, now time.Time) time.Duration {
+// nextToken returns the time until there is a whole token if none is taken meanwhile.
+func (b *bucket) nextToken(weight float64) time.Duration {
 	rate := b.allowance.rate * weight
 	if rate <= 0 {
 		return maxRetryAfter
 	}
-	if b.served.Before(now) {
-		b.served = now.Add(time.Duration(max(-b.tokens, 0) / rate * float64(time.Second)))
-	}
-	b.served = b.served.Add(time.Duration(float64(refused) / rate * float64(time.Second)))
-	if limit := now.Add(maxRetryAfter); b.served.After(limit) {
-		b.served = limit
-	}
-	return b.served.Sub(now)
+	return min(time.Duration((1-b.tokens)/rate*float64(time.Second)), maxRetryAfter)
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -337,6 +337,16 @@
 	return func(time.Duration) float64 { return perSecond }
 }
 
+// risesAt is a demand of two calls per second that rises at a time.
+func risesAt(at time.Duration, perSecond float64) func(time.Duration) float64 {
+	return func(now time.Duration) float64 {
+		if now < at {
+			return 2
+		}
+		return perSecond
+	}
+}
+
 // skewed returns customers whose usual demands follow Zipf's law and sum up to total; each may send 1.6 times as much.
 func skewed(count int, total float64) (customers []*customer.Customer, usual []float64) {
 	var sum float64
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -52,7 +52,8 @@
 	Allowed bool
 	// Known is set if the decision is the owner's; otherwise no owner could be asked, and the call is refused.
 	Known bool
-	// RetryAfter is the time after which a refused call would probably be allowed.
+	// RetryAfter is the time after which there are tokens again. Callers that come back then compete with new calls: a longer
+	// time would only make the allowed calls late.
 	RetryAfter time.Duration
 
 	customer string
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -17,7 +17,7 @@
 	minPullTokens = 2
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked to retry.
 	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
+	maxRetryAfter = 2 * time.Second
 )
 
 // Want asks for tokens of a customer.
@@ -35,7 +35,7 @@
 // Grant is the answer to a want.
 type Grant struct {
 	Tokens int
-	// RetryAfter is set if fewer tokens than waiting calls were granted.
+	// RetryAfter is the time until the owner has a token again, set if fewer tokens than waiting calls were granted.
 	RetryAfter time.Duration
 }
 
@@ -94,10 +94,10 @@
 	if b == nil {
 		return Grant{RetryAfter: maxRetryAfter}
 	}
-	b.demand.add(want.Waiting, now)
+	b.demand.add(want.Waiting+want.Refused, now)
 	granted := b.take(want.Waiting)
-	if refused := want.Waiting - granted; refused > 0 {
-		return Grant{Tokens: granted, RetryAfter: max(b.refuse(refused+want.Refused, s.weight, now), minRetryAfter)}
+	if granted < want.Waiting {
+		return Grant{Tokens: granted, RetryAfter: max(b.nextToken(s.weight), minRetryAfter)}
 	}
 	return Grant{Tokens: granted + b.take(min(want.Ahead, int(aheadShare*b.tokens)))}
 }
