--- a/api/v1/quota.twirp.go
+++ b/api/v1/quota.twirp.go
@@ -785,7 +785,7 @@
 }
 
 func (s *quotasServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *quotasServer) ProtocGenTwirpVersion() string {
@@ -799,7 +799,7 @@
 	return baseServicePath(s.pathPrefix, "samphireflow.v1", "Quotas")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 517 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x54, 0x4d, 0x6f, 0xd3, 0x40,
 	0x10, 0xd5, 0xe6, 0xab, 0xe9, 0x40, 0x28, 0xac, 0x0a, 0x72, 0xd3, 0x4b, 0xb0, 0x00, 0xf5, 0xe4,
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"samphireflow/internal/calls"
+	"samphireflow/internal/slowdown"
 )
 
 const (
 	// reportHalfLife is the age at which a gate's report of the calls of other nodes counts half.
 	reportHalfLife = 400 * time.Millisecond
+	// otherCallsWeight is the weight of the latest report in the moving average of the calls of other nodes.
+	otherCallsWeight = 0.05
 	// latencyWeight is the weight of the latest call in the moving average of a backend server's latency.
 	latencyWeight = 0.1
 	// statsHalfLife is the age at which a moving average that no call has updated counts half. The mean over all backend
@@ -28,23 +31,38 @@
 	// drainingBackoff is the time for which a backend server is avoided after it refused a call as draining or as
 	// misdirected. By the end of it the membership shows the change.
 	drainingBackoff = 3 * time.Second
+	// evacuatedBackoff is the time for which a backend server is avoided after its gate refused a call because of an
+	// evacuation that this node does not know, or no longer. By the end of it the configuration shows the change.
+	evacuatedBackoff = time.Second
+	// minColdBackoff and maxColdBackoff bound the time for which a cold backend server is avoided after it refused a call.
+	// Its gate says when it can take the next one, but all nodes wait for that.
+	minColdBackoff = 100 * time.Millisecond
+	maxColdBackoff = time.Second
 )
 
 // ServerStats holds what a node knows of one incarnation of a backend server. It is safe for concurrent use.
 type ServerStats struct {
 	mu    sync.Mutex
 	slots int
-	// coldUntil is the end of the time in which the backend server is slow after its start.
+	// coldUntil is the end of the time in which the backend server is cold.
 	coldUntil time.Time
+	// coldRate is the number of calls per second that the backend server can take while it is cold, 0 for no limit.
+	coldRate float64
 	// ownCalls is the number of this node's calls in flight.
 	ownCalls int
 	// otherCalls is the number of running and waiting calls of other nodes that the gate reported at reportedAt.
 	otherCalls int
 	reportedAt time.Time
+	// meanOtherCalls is the moving average of otherCalls over the reports of a backend server that tells its slowdown.
+	meanOtherCalls float64
 	// meanLatency is the moving average of the latency of calls without an error, 0 before the first; meanLatencyAt is
 	// the time of its last update.
 	meanLatency   time.Duration
 	meanLatencyAt time.Time
+	// word is what the backend server last told of its slowdown. meanSlowdown is the moving average of the slowdown over the
+	// calls of meanLatency, 0 if none was told.
+	word         slowdown.Word
+	meanSlowdown float64
 	// errorRate is the moving average of the share of failed and shed calls; errorRateAt is the time of its last update.
 	errorRate   float64
 	errorRateAt time.Time
@@ -60,6 +78,22 @@
 	return &ServerStats{slots: max(slots, 1), coldUntil: coldUntil}
 }
 
+// MarkCold records that the backend server is cold until a time.
+func (s *ServerStats) MarkCold(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.coldUntil) {
+		s.coldUntil = until
+	}
+}
+
+// SetColdRate sets the number of calls per second that the backend server can take while it is cold, 0 for no limit.
+func (s *ServerStats) SetColdRate(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldRate = rate
+}
+
 // Begin counts a call that is sent to the backend server. End must follow.
 func (s *ServerStats) Begin(now time.Time) {
 	s.mu.Lock()
@@ -78,6 +112,10 @@
 	if result.Load != nil {
 		s.otherCalls = max(result.Load.Running+result.Load.Waiting-s.ownCalls, 0)
 		s.reportedAt = now
+		s.word.Hear(result.Load.Slowdown, now)
+		if s.word.Told() {
+			s.meanOtherCalls += otherCallsWeight * (float64(s.otherCalls) - s.meanOtherCalls)
+		}
 		if s.unreachableInRow > 0 {
 			s.unreachableInRow = 0
 			s.avoidUntil = now
@@ -107,6 +145,11 @@
 	} else {
 		s.meanLatency += time.Duration(latencyWeight * float64(result.Latency-s.meanLatency))
 	}
+	if s.meanSlowdown == 0 && s.word.Told() {
+		s.meanSlowdown = s.word.At(now)
+	} else if s.word.Told() {
+		s.meanSlowdown += latencyWeight * (s.word.At(now) - s.meanSlowdown)
+	}
 	s.meanLatencyAt = now
 }
 
@@ -114,6 +157,10 @@
 	switch result.Reason {
 	case calls.ReasonDraining, calls.ReasonMisdirected:
 		s.avoidUntil = now.Add(drainingBackoff)
+	case calls.ReasonEvacuated:
+		s.avoidUntil = now.Add(evacuatedBackoff)
+	case calls.ReasonCold:
+		s.avoidUntil = now.Add(min(max(result.RetryAfter, minColdBackoff), maxColdBackoff))
 	case calls.ReasonUnreachable:
 		s.avoidUntil = now.Add(min(unreachableBackoff<<min(s.unreachableInRow, 8), maxUnreachableBackoff))
 		s.unreachableInRow++
@@ -128,24 +175,33 @@
 	// slots is the number of slots, reduced while the backend server is cold.
 	slots float64
 	// occupied estimates the number of running and waiting calls of all nodes.
-	occupied    float64
+	occupied float64
+	// meanLatency is the mean latency of calls, divided by their mean slowdown if the backend server tells it. Slowdown is
+	// the one to be expected now, 1 if none is told.
 	meanLatency time.Duration
+	slowdown    float64
 	// meanLatencyAge is the time since the last update of meanLatency.
 	meanLatencyAge time.Duration
 	errorRate      float64
 	// avoid says that calls should go to other backend servers.
 	avoid bool
+	// paced says that the backend server is cold and its gate limits the rate of calls.
+	paced bool
 }
 
 // snapshot returns the statistics with the weights that they have at a time.
 func (s *ServerStats) snapshot(now time.Time) snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, avoid: now.Before(s.avoidUntil)}
+	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, slowdown: s.word.At(now), avoid: now.Before(s.avoidUntil)}
+	if s.meanSlowdown > 0 {
+		snap.meanLatency = time.Duration(float64(s.meanLatency) / s.meanSlowdown)
+	}
 	if now.Before(s.coldUntil) {
 		snap.slots /= coldSlowdown
+		snap.paced = s.coldRate > 0
 	}
-	snap.occupied += float64(s.otherCalls) * decay(now.Sub(s.reportedAt), reportHalfLife)
+	snap.occupied += s.meanOtherCalls + (float64(s.otherCalls)-s.meanOtherCalls)*decay(now.Sub(s.reportedAt), reportHalfLife)
 	snap.meanLatencyAge = now.Sub(s.meanLatencyAt)
 	snap.errorRate = s.errorRate * decay(now.Sub(s.errorRateAt), statsHalfLife)
 	return snap
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -99,12 +99,6 @@
 	f.directory = customer.NewDirectory(entries)
 }
 
-func (f *fleet) customer(name string) *customer.Customer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.customers[name]
-}
-
 // publish tells all nodes which nodes are up. Nodes that are cut off keep what they knew.
 func (f *fleet) publish() {
 	for _, m := range f.members {
