--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -196,8 +196,8 @@
 }
 
 // resolveServer returns the current incarnation of the backend server, or a refusal if it is not the given instance, is
-// draining or is in an evacuated failure domain. For a new incarnation it starts an empty queue, closes the circuit breaker and drops the connections to the
-// previous incarnation.
+// draining or is in an evacuated failure domain. For a new incarnation it starts an empty queue, closes the circuit breaker
+// and drops the connections to the previous incarnation.
 func (g *Gate) resolveServer(instance string) (serverIncarnation, *calls.Result) {
 	info := g.options.LocalServer()
 	switch {
