--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -58,7 +58,7 @@
 		gate: gate.New(gate.Options{
 			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
 			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
-			Headers: headers, Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
@@ -72,6 +72,7 @@
 		FailureDomain: s.FailureDomain,
 		Service:       s.Service,
 		Table:         n.Table,
+		Outdated:      n.Outdated,
 		Gate:          g.gate,
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
@@ -85,6 +86,21 @@
 	return g
 }
 
+// customerWeight returns the function that weighs customers by their configured rates.
+func customerWeight(n *node.Node) func(name string) float64 {
+	return func(name string) float64 {
+		table := n.Table()
+		if table == nil {
+			return 0
+		}
+		customer := table.Customers.ByName(name)
+		if customer == nil {
+			return 0
+		}
+		return customer.Rate
+	}
+}
+
 // register mounts the twirp service that other nodes and the platform call.
 func (g *gatedTraffic) register(mux *http.ServeMux) {
 	service := apiv1.NewTrafficServer(g.service)
