--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -13,6 +13,8 @@
 const (
 	// crowdSize is the number of connections of most crowds, more than a process may have descriptors.
 	crowdSize = 400
+	// largeCrowdSize is the number of connections of a crowd that a process has descriptors enough for.
+	largeCrowdSize = 1500
 	// smallCrowdSize is the number of connections of crowds of which each holds much.
 	smallCrowdSize = 60
 	// blockedTime is the time after which a write counts as blocked: the process does not read.
--- a/test/hostile/deployment_test.go
+++ b/test/hostile/deployment_test.go
@@ -29,11 +29,12 @@
 	_ "samphireflow/platform"
 )
 
-// Limits of each process. The smallest instance in force has 184 MB and 4,100 descriptors; these let a small crowd do the harm.
+// Limits of each process. The smallest instance in force has 184 MB and 4,100 descriptors; fewer let a small crowd do the harm.
 const (
 	memoryMB = 96
-	// maxFds is the number of descriptors, of which reservedFds are not for sockets.
-	maxFds      = 456
+	// fewFds and manyFds are numbers of descriptors, of which reservedFds are not for sockets.
+	fewFds      = 456
+	manyFds     = 4100
 	reservedFds = 200
 )
 
@@ -67,6 +68,7 @@
 type deployment struct {
 	t         *testing.T
 	dir       string
+	maxFds    int
 	processes map[int]*process
 	announced atomic.Int64
 	backend   string
@@ -124,8 +126,8 @@
 }
 
 // startDeployment starts a deployment and waits until it serves calls.
-func startDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), processes: map[int]*process{}}
+func startDeployment(t *testing.T, maxFds int) *deployment {
+	d := &deployment{t: t, maxFds: maxFds, dir: t.TempDir(), processes: map[int]*process{}}
 	d.backend = startBackend(t)
 	d.start(controlInstance, fmt.Sprintf("Serves = [\"control_plane\"]\nDataDir = %q", filepath.Join(d.dir, "data")))
 	d.start(attackedNode, "Serves = [\"sidecar\"]\nService = \"rota\"")
@@ -182,7 +184,7 @@
 [Terms.Bounds]
 GraceS = 6
 ConfigPropagationS = 2
-`, i, ipOf(i), i%2, local, memoryMB, maxFds, firstInternalPort+20*i, firstInternalPort+20*i+15, addrOf(controlInstance, controlPort),
+`, i, ipOf(i), i%2, local, memoryMB, d.maxFds, firstInternalPort+20*i, firstInternalPort+20*i+15, addrOf(controlInstance, controlPort),
 		addrOf(i, inboundPort), addrOf(i, outboundPort), addrOf(i, readyPort), addrOf(i, controlPort))
 	path := filepath.Join(d.dir, fmt.Sprintf("instance-%d.toml", i))
 	require.NoError(d.t, os.WriteFile(path, []byte(text), 0o600))
@@ -192,7 +194,7 @@
 	p.command.Env = append(os.Environ(), "SAMPHIREFLOW_SETTINGS="+path)
 	p.command.Stdout, p.command.Stderr = logs, logs
 	require.NoError(d.t, p.command.Start())
-	limit := unix.Rlimit{Cur: maxFds - reservedFds, Max: maxFds - reservedFds}
+	limit := unix.Rlimit{Cur: uint64(d.maxFds - reservedFds), Max: uint64(d.maxFds - reservedFds)}
 	require.NoError(d.t, unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
 	go func() {
 		_ = p.command.Wait()
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -64,21 +64,45 @@
 				if !k.short && os.Getenv("SAMPHIREFLOW_PROVE") == "" {
 					t.Skip("set SAMPHIREFLOW_PROVE=1 to run all kinds")
 				}
-				d := startDeployment(t)
-				attacked := d.processes[p.instance]
-				host, _, err := net.SplitHostPort(p.target.addr)
-				require.NoError(t, err)
-				sampler := startSampler(attacked.command.Process.Pid, host)
-				crowd := startCrowd(k.size, p.target, k.misbehave)
-				answered := d.waitFor(func() bool { return p.ordinary(d) }) && d.waitFor(func() bool { return ordinaryCall(attackedNode) })
-				peak := sampler.end()
-				crowd.dismiss()
-				t.Log(peak)
-				require.True(t, attacked.alive(), "the process has ended")
-				assert.True(t, answered, "an ordinary request is answered")
-				assert.Less(t, peak.residentMB+peak.unreadMB, memoryMB, "memory in MB")
-				assert.Less(t, peak.descriptors, maxFds-reservedFds, "descriptors; without a free one the process opens no connection to the backend server")
+				run(t, p, k, fewFds)
 			})
 		}
 	}
 }
+
+// TestMisbehavingCallersWithinTheDescriptors sends crowds that an instance has descriptors enough for, so that only its memory
+// bounds them.
+func TestMisbehavingCallersWithinTheDescriptors(t *testing.T) {
+	for _, p := range places() {
+		for _, k := range kinds {
+			if k.size != crowdSize || p.name == "node's port for metrics" {
+				continue
+			}
+			k.size = largeCrowdSize
+			t.Run(p.name+"/"+k.name, func(t *testing.T) {
+				if os.Getenv("SAMPHIREFLOW_PROVE") == "" {
+					t.Skip("set SAMPHIREFLOW_PROVE=1 to run crowds of many connections")
+				}
+				run(t, p, k, manyFds)
+			})
+		}
+	}
+}
+
+// run sends a crowd to a place of a new deployment and checks what must hold while it stays.
+func run(t *testing.T, p place, k kind, maxFds int) {
+	d := startDeployment(t, maxFds)
+	attacked := d.processes[p.instance]
+	host, _, err := net.SplitHostPort(p.target.addr)
+	require.NoError(t, err)
+	sampler := startSampler(attacked.command.Process.Pid, host)
+	crowd := startCrowd(k.size, p.target, k.misbehave)
+	answered := d.waitFor(func() bool { return p.ordinary(d) }) && d.waitFor(func() bool { return ordinaryCall(attackedNode) })
+	peak := sampler.end()
+	crowd.dismiss()
+	t.Log(peak)
+	require.True(t, attacked.alive(), "the process has ended")
+	assert.True(t, answered, "an ordinary request is answered")
+	assert.Less(t, peak.residentMB+peak.unreadMB, memoryMB, "memory in MB")
+	assert.Less(t, peak.descriptors, maxFds-reservedFds, "descriptors; without a free one the process opens no connection to the backend server")
+}
