Keep one account of what clients hold, at every listener

Cause: nothing bounded what the connections of a process held together, and a client that stopped within a body or did not read kept its connection for ever. Crowds took all descriptors or several times the memory of an instance.

internal/resources decides from the descriptors and the memory of the process whom to refuse and whom to disconnect: who holds most for longest without progress first. Each listener has a share that the others cannot take. A late header is answered 408 as intended (400 before). A response is sent before the rest of the request's body is read, and a closing connection is drained, so that a refusal arrives.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"samphireflow/internal/resources"
 )
 
 // maxReadAhead is the number of unused bytes from which reading ahead pauses. While it pauses, the
@@ -17,8 +19,10 @@
 // connection has failed, even while bytes read ahead are unused, as long as there are fewer than maxReadAhead of them.
 type Conn struct {
 	net.Conn
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+	// account is nil for a connection without one.
+	account *resources.Conn
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
 
 	mu sync.Mutex
 	// data was read ahead and has not been used. err is the error that ended the reading.
@@ -28,11 +32,13 @@
 	changed  chan struct{}
 	deadline time.Time
 	timer    *time.Timer
+	// discarding is set once nothing more of what is read is used.
+	discarding bool
 }
 
 func newConn(inner net.Conn) *Conn {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	c := &Conn{Conn: inner, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
+	c := &Conn{Conn: inner, account: resources.ConnOf(inner), ctx: ctx, cancel: cancel, changed: make(chan struct{})}
 	go c.readAhead()
 	return c
 }
@@ -51,8 +57,15 @@
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := c.Conn.Read(buffer)
+		if refused := c.account.Hold(int64(n)); refused != nil {
+			err = refused
+		}
 		c.mu.Lock()
-		c.data = append(c.data, buffer[:n]...)
+		if c.discarding {
+			_ = c.account.Hold(-int64(n))
+		} else {
+			c.data = append(c.data, buffer[:n]...)
+		}
 		if err != nil {
 			c.err = err
 		}
@@ -87,6 +100,7 @@
 				c.data = nil
 			}
 			c.notifyLocked()
+			_ = c.account.Hold(-int64(n))
 			return n, nil
 		case c.err != nil:
 			return 0, c.err
@@ -98,6 +112,15 @@
 	}
 }
 
+// Discard drops what has been read and what will be read.
+func (c *Conn) Discard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.account.Hold(-int64(len(c.data)))
+	c.data, c.discarding = nil, true
+	c.notifyLocked()
+}
+
 // SetReadDeadline sets the deadline of Read. Reading ahead goes on after it.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
--- a/internal/callerconn/response.go
+++ b/internal/callerconn/response.go
@@ -14,6 +14,9 @@
 // Then its writer waits.
 const maxBufferedResponse = 256 << 10
 
+// maxJoinedBody is the longest body that is copied behind its header, so that one write sends both.
+const maxJoinedBody = 16 << 10
+
 // response is the http.ResponseWriter of one request. It buffers the response until the responses to all earlier requests
 // of the connection have been sent.
 type response struct {
@@ -22,6 +25,9 @@
 	// previousDone is closed when all earlier responses have been sent, done when this one has been sent.
 	previousDone chan struct{}
 	done         chan struct{}
+	// held is the memory of the request and the response, bufferHeld the part for buffer.
+	held       *heldMemory
+	bufferHeld int
 	// closesConn is set if the connection closes after this response.
 	closesConn bool
 
@@ -45,13 +51,15 @@
 	if w.session.broken.Load() {
 		return
 	}
-	if aborted {
+	if aborted || w.writeErr != nil {
+		// The call may have run, so nothing can be said but that its response does not arrive.
 		w.abort()
 		return
 	}
 	if w.request.Body != nil {
 		// The next request follows the rest of the body. If that is long, the connection closes instead.
-		if n, err := io.CopyN(io.Discard, w.request.Body, maxBufferedBody); err == nil && n == maxBufferedBody {
+		n, err := io.CopyN(io.Discard, w.request.Body, maxBufferedBody)
+		if err == nil && n == maxBufferedBody || err != nil && !errors.Is(err, io.EOF) {
 			w.closesConn = true
 		}
 	}
@@ -106,6 +114,14 @@
 	if w.request.Method == http.MethodHead {
 		return len(data), nil
 	}
+	if more := w.buffer.Len() + len(data) - w.bufferHeld; more > 0 {
+		if w.writeErr = w.held.add(int64(more)); w.writeErr != nil {
+			w.buffer = bytes.Buffer{}
+			w.held.release()
+			return 0, w.writeErr
+		}
+		w.bufferHeld += more
+	}
 	w.buffer.Write(data)
 	if w.buffer.Len() < maxBufferedResponse {
 		return len(data), nil
@@ -131,6 +147,12 @@
 		w.writeHead(&out, final)
 	}
 	switch {
+	case !w.chunked && w.buffer.Len() > maxJoinedBody:
+		if _, err := w.session.conn.Write(out.Bytes()); err != nil {
+			return err
+		}
+		_, err := w.buffer.WriteTo(w.session.conn)
+		return err
 	case !w.chunked:
 		w.buffer.WriteTo(&out)
 	default:
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -21,10 +21,10 @@
 	// been sent. A request that must not run twice has to wait: an earlier response may close the connection, and the
 	// caller would then send the request again.
 	MayPipeline func(r *http.Request) bool
-	// MaxHeaderBytes bounds the length of a request's header, and HeaderTimeout the time in which the header must arrive.
+	// MaxHeaderBytes returns the longest header of a request, and HeaderTimeout the time in which the header must arrive.
 	// IdleTimeout returns the time for which a connection without a request is kept.
-	MaxHeaderBytes int
-	HeaderTimeout  time.Duration
+	MaxHeaderBytes func() int
+	HeaderTimeout  func() time.Duration
 	IdleTimeout    func() time.Duration
 	Logger         zerolog.Logger
 	// MaxKeptConns is the number of open connections above which a connection closes after the response to the last request
@@ -43,6 +43,8 @@
 	mu           sync.Mutex
 	sessions     map[*session]struct{}
 	sessionGroup sync.WaitGroup
+	// unreadable bounds the log lines about requests that cannot be read.
+	unreadable logLimit
 	// openSessions is the number of sessions.
 	openSessions atomic.Int64
 }
--- a/internal/callerconn/server_test.go
+++ b/internal/callerconn/server_test.go
@@ -24,8 +24,8 @@
 	s := NewServer(Options{
 		Handler:        handler,
 		MayPipeline:    func(r *http.Request) bool { return r.Method == http.MethodGet },
-		MaxHeaderBytes: 16 << 10,
-		HeaderTimeout:  testTimeout,
+		MaxHeaderBytes: func() int { return 16 << 10 },
+		HeaderTimeout:  func() time.Duration { return testTimeout },
 		IdleTimeout:    func() time.Duration { return testTimeout },
 		Logger:         zerolog.Nop(),
 	})
--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireflow/internal/resources"
 )
 
 const (
@@ -46,12 +48,16 @@
 	last chan struct{}
 	// closeDecided is set once a response announces that the connection closes. From then on no request is accepted.
 	closeDecided bool
+	// requests is the number of requests that have been read and not answered.
+	requests int
 }
 
 // headerLimitReader fails after remaining bytes have been read. It bounds the length of a header.
 type headerLimitReader struct {
 	conn      *Conn
 	remaining int
+	// held is what the connection holds in its account for the header.
+	held int64
 }
 
 // Read implements io.Reader.
@@ -60,7 +66,15 @@
 		return 0, errHeaderTooLong
 	}
 	n, err := l.conn.Read(buffer[:min(len(buffer), l.remaining)])
+	if l.remaining == unlimited {
+		return n, err
+	}
 	l.remaining -= n
+	weight := resources.HeadWeight(bytes.Count(buffer[:n], []byte("\n")), n)
+	if refused := l.conn.account.Hold(weight); refused != nil {
+		return 0, refused
+	}
+	l.held += weight
 	return n, err
 }
 
@@ -88,6 +102,7 @@
 func (s *session) closeGracefully() {
 	if !s.broken.Load() {
 		// CloseWrite fails if the caller has already closed the connection; then there is nothing to wait for.
+		s.conn.Discard()
 		if s.conn.CloseWrite() == nil {
 			select {
 			case <-s.conn.Context().Done():
@@ -120,16 +135,34 @@
 		s.rejectUnreadable(err)
 		return false
 	}
-	parallel := s.bufferBody(r) && s.server.options.MayPipeline(r)
+	held := &heldMemory{conn: s.conn.account, bytes: s.limit.held}
+	s.limit.held = 0
+	s.begin()
+	end := func() {
+		held.release()
+		<-s.inFlightSlots
+		s.end()
+	}
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = &body{ReadCloser: r.Body, held: held}
+	}
+	buffered, err := s.bufferBody(r)
+	if errors.Is(err, resources.ErrNoMemory) {
+		end()
+		s.rejectUnreadable(err)
+		return false
+	}
+	parallel := buffered && s.server.options.MayPipeline(r)
 	w := s.enqueue(r)
 	if w == nil {
-		<-s.inFlightSlots
+		end()
 		return false
 	}
+	w.held = held
 	s.inFlight.Add(1)
 	handle := func() {
 		defer s.inFlight.Done()
-		defer func() { <-s.inFlightSlots }()
+		defer end()
 		if !parallel {
 			<-w.previousDone
 		}
@@ -143,6 +176,34 @@
 	return !w.closesConn && !s.broken.Load()
 }
 
+// begin records that a request has been read, end that it has been answered or given up.
+func (s *session) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	s.conn.account.Run(1)
+}
+
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests--
+	s.conn.account.Run(-1)
+	if s.requests == 0 && s.idle.Load() {
+		s.conn.account.Idle()
+	}
+}
+
+// waitIdle records that the session waits for the first byte of a request.
+func (s *session) waitIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle.Store(true)
+	if s.requests == 0 {
+		s.conn.account.Idle()
+	}
+}
+
 // enqueue returns the response to an accepted request, to be sent after those of all earlier requests. It returns nil if an
 // earlier response closes the connection.
 func (s *session) enqueue(r *http.Request) *response {
@@ -177,9 +238,9 @@
 
 // readRequest waits for a request and reads its header.
 func (s *session) readRequest() (*http.Request, error) {
-	s.limit.remaining = s.server.options.MaxHeaderBytes
+	s.limit.remaining = s.server.options.MaxHeaderBytes()
 	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.options.IdleTimeout()))
-	s.idle.Store(true)
+	s.waitIdle()
 	if s.server.stopping.Load() && s.reader.Buffered() == 0 {
 		// Shutdown may have called closeIfIdle before the session became idle.
 		_ = s.conn.SetReadDeadline(time.Now())
@@ -189,7 +250,8 @@
 	if err != nil {
 		return nil, io.EOF
 	}
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.options.HeaderTimeout))
+	s.conn.account.Begin()
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.options.HeaderTimeout()))
 	r, err := http.ReadRequest(s.reader)
 	if err != nil {
 		return nil, err
@@ -205,9 +267,9 @@
 
 // bufferBody buffers a short body, so that the next request can be read. It reports whether the request has been read from
 // the connection completely.
-func (s *session) bufferBody(r *http.Request) bool {
+func (s *session) bufferBody(r *http.Request) (bool, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return true
+		return true, nil
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		<-s.lastDone()
@@ -215,15 +277,34 @@
 		_, _ = io.WriteString(s.conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBody {
-		return false
+		return false, nil
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := readShort(r.Body, int(r.ContentLength))
 	if err != nil {
 		r.Body = io.NopCloser(&errorReader{err})
-		return false
+		return false, err
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	return true
+	return true, nil
+}
+
+// firstBodyBuffer is the size of the first buffer for a short body, in bytes.
+const firstBodyBuffer = 4 << 10
+
+// readShort reads a body of a known length. It allocates memory as far as the body has arrived.
+func readShort(from io.Reader, length int) ([]byte, error) {
+	body := make([]byte, 0, min(length, firstBodyBuffer))
+	for len(body) < length {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(length, 2*cap(body))), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil && len(body) < length {
+			return nil, err
+		}
+	}
+	return body, nil
 }
 
 // errorReader is a request body whose reading failed.
@@ -244,12 +325,17 @@
 	}
 	status := http.StatusBadRequest
 	switch {
+	case errors.Is(err, resources.ErrNoMemory):
+		status = http.StatusServiceUnavailable
 	case errors.Is(err, errHeaderTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	}
-	s.server.options.Logger.Info().Err(err).Str("peer", s.conn.RemoteAddr().String()).Int("status", status).Msg("cannot read a request of a caller")
+	if omitted, may := s.server.unreadable.next(time.Now()); may {
+		s.server.options.Logger.Info().Err(err).Str("peer", s.conn.RemoteAddr().String()).Int("status", status).Int("omitted", omitted).
+			Msg("cannot read a request of a caller")
+	}
 	text := http.StatusText(status)
 	// The write may fail because the caller has closed the connection.
 	_, _ = io.WriteString(s.conn, "HTTP/1.1 "+statusLine(status)+"\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "+
--- a/internal/daemon/caller_server.go
+++ b/internal/daemon/caller_server.go
@@ -23,16 +23,41 @@
 	return defaultCallerIdleTimeout
 }
 
-// callerHeaderTimeout bounds the time in which the header of a caller's request must arrive.
-const callerHeaderTimeout = 5 * time.Second
+// minCallerHeaderTimeout is the least time in which the header of a caller's request must arrive: a node that is short of
+// processor time reads late.
+const minCallerHeaderTimeout = 5 * time.Second
+
+// callerHeaderTimeout returns the time in which the header of a caller's request must arrive.
+func (d *Daemon) callerHeaderTimeout() time.Duration {
+	if table := d.node.Table(); table != nil {
+		return max(table.CallerLimits.HeaderTimeout, minCallerHeaderTimeout)
+	}
+	return minCallerHeaderTimeout
+}
+
+const (
+	// minCallerHeaderBytes is the least length of a header that is read whole, so that a longer one than the limit is refused
+	// by a response.
+	minCallerHeaderBytes = 64 << 10
+	// headerFraming is what the header of a request has on the network beyond what the configured limit counts, in bytes.
+	headerFraming = 8 << 10
+)
+
+// callerHeaderBytes returns the longest header of a caller's request that is read.
+func (d *Daemon) callerHeaderBytes() int {
+	if table := d.node.Table(); table != nil {
+		return max(table.CallerLimits.HeaderBytes+headerFraming, minCallerHeaderBytes)
+	}
+	return minCallerHeaderBytes
+}
 
 // newCallerServer returns the server of callers' connections.
 func (d *Daemon) newCallerServer() *callerconn.Server {
 	return callerconn.NewServer(callerconn.Options{
 		Handler:        d.gatedTraffic.ingress,
 		MayPipeline:    d.gatedTraffic.ingress.MayPipeline,
-		MaxHeaderBytes: maxHeaderBytes,
-		HeaderTimeout:  callerHeaderTimeout,
+		MaxHeaderBytes: d.callerHeaderBytes,
+		HeaderTimeout:  d.callerHeaderTimeout,
 		IdleTimeout:    d.callerIdleTimeout,
 		Logger:         d.logger,
 		MaxKeptConns:   maxKeptCallerConnections,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/replica"
+	"samphireflow/internal/resources"
 	"samphireflow/internal/rpcbytes"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/state"
@@ -47,6 +48,8 @@
 
 	// rpcBytes counts the bytes at the control address.
 	rpcBytes *rpcbytes.Counter
+	// connections keeps account of what all listeners hold.
+	connections *resources.Keeper
 	// faults is nil without fault injection.
 	faults       *netfault.Faults
 	platform     PlatformOptions
@@ -62,6 +65,7 @@
 // New creates the roles of the process. For a control instance it opens the data folder.
 func New(s *settings.Settings, platform PlatformOptions, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, platform: platform, logger: logger, registry: prometheus.NewRegistry(), rpcBytes: rpcbytes.New()}
+	d.connections = d.newKeeper()
 	if s.FaultInjection {
 		d.faults = netfault.Enable()
 		d.faults.Cut(s.PartitionedAddrs)
@@ -193,11 +197,12 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return serve(running, "admin", d.settings.AdminAddr, d.adminHandler()) })
+	group.Go(func() error { return d.serve(running, resources.Admin, d.settings.AdminAddr, d.adminHandler()) })
 	group.Go(func() error {
 		handler := d.rpcBytes.Handler(tracing.TracedOnly("control", d.controlHandler()))
-		return serveCounted(running, "control", d.settings.ControlAddr, handler, d.rpcBytes.Listener)
+		return d.serveCounted(running, resources.Control, d.settings.ControlAddr, handler, d.rpcBytes.Listener)
 	})
+	group.Go(func() error { return d.connections.Run(running) })
 	if d.control != nil {
 		group.Go(func() error { return d.control.Run(running) })
 		group.Go(func() error { return d.watchStorage(running) })
--- a/internal/daemon/drain_listener.go
+++ b/internal/daemon/drain_listener.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"samphireflow/internal/resources"
 )
 
 const (
@@ -31,7 +33,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &drainListener{TCPListener: listener.(*net.TCPListener), closed: make(chan struct{})}, nil
+	tcp := listener.(*net.TCPListener)
+	// Not every system supports it; then its own bounds hold.
+	_ = resources.LimitReadBuffers(tcp)
+	return &drainListener{TCPListener: tcp, closed: make(chan struct{})}, nil
 }
 
 // Accept returns the next connection, or net.ErrClosed once the listener has drained.
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -18,6 +18,7 @@
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
+	"samphireflow/internal/resources"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/suspect"
 )
@@ -94,13 +95,16 @@
 	if err != nil {
 		return err
 	}
-	gateListener, err := newListeningServer("gate", d.settings.GateAddr, &http.Server{
+	callerListener.kept = d.connections.Listener(callerListener.listener, resources.Callers)
+	gateServer := &http.Server{
 		Handler: hop.Handler(d.gatedTraffic.gate, d.logger), ConnContext: hop.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}
+	gateListener, err := newListeningServer("gate", d.settings.GateAddr, gateServer)
 	if err != nil {
 		return err
 	}
+	gateListener.kept = d.connections.Serve(gateServer, gateListener.listener, resources.Gate)
 	serving, cancel := context.WithCancel(context.WithoutCancel(running))
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(serving)
--- a/internal/daemon/listening_server.go
+++ b/internal/daemon/listening_server.go
@@ -19,6 +19,8 @@
 	name     string
 	server   gracefulServer
 	listener *drainListener
+	// kept is the listener with the account of its connections.
+	kept net.Listener
 }
 
 func newListeningServer(name, addr string, server gracefulServer) (*listeningServer, error) {
@@ -27,7 +29,7 @@
 }
 
 func (l *listeningServer) serve() error {
-	err := l.server.Serve(l.listener)
+	err := l.server.Serve(l.kept)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/daemon/platform_options.go
+++ b/internal/daemon/platform_options.go
@@ -9,6 +9,7 @@
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/node"
+	"samphireflow/internal/resources"
 )
 
 // PlatformOptions configures the interface of the process to a platform, in addition to the project's own interface. Its
@@ -33,12 +34,12 @@
 	}
 	if d.platform.AnnounceAddr != "" {
 		group.Go(func() error {
-			return serve(running, "announcements", d.platform.AnnounceAddr, d.platform.AnnounceHandler(d.node))
+			return d.serve(running, resources.Announcements, d.platform.AnnounceAddr, d.platform.AnnounceHandler(d.node))
 		})
 	}
 	if d.platform.ReadyAddr != "" {
 		group.Go(func() error {
-			return serve(running, "readiness", d.platform.ReadyAddr, d.platform.ReadyHandler(d.Ready))
+			return d.serve(running, resources.Readiness, d.platform.ReadyAddr, d.platform.ReadyHandler(d.Ready))
 		})
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,10 +6,12 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"samphireflow/internal/calls"
 	"samphireflow/internal/move/local"
+	"samphireflow/internal/resources"
 	"samphireflow/internal/routing"
 )
 
@@ -105,6 +107,9 @@
 		timeout = min(timeout, time.Duration(ms*float64(time.Millisecond)))
 	}
 	body, err := calls.ReadBody(r)
+	if errors.Is(err, resources.ErrNoMemory) {
+		return nil, notRun(err.Error(), minRetryAfter)
+	}
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, message: "the body cannot be read"}
 	}
--- /dev/null
+++ b/internal/resources/conn.go
@@ -0,0 +1,131 @@
+package resources
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoMemory means that there is no memory for a request at present. The request was not handled.
+var ErrNoMemory = errors.New("too many requests hold memory at present")
+
+// maxWrite is the length of the parts of a long write, between which its progress is recorded.
+const maxWrite = 64 << 10
+
+// Conn is a connection in the account of a Keeper. A nil *Conn has no account: its methods besides those of net.Conn do nothing.
+type Conn struct {
+	net.Conn
+	keeper *Keeper
+	entry  *Entry
+	// onRead is called with the bytes that were read, if it is set, and records the beginnings of requests. An error ends the
+	// connection.
+	onRead func(data []byte) error
+	widen  sync.Once
+}
+
+// ConnOf returns the connection of an account that is beneath another one, nil if there is none.
+func ConnOf(c net.Conn) *Conn {
+	conn, _ := c.(*Conn)
+	return conn
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		now := time.Now()
+		if c.onRead == nil {
+			c.keeper.account.Begin(c.entry, now)
+		}
+		c.keeper.account.Moved(c.entry, n, now)
+		if c.onRead != nil {
+			if refused := c.onRead(buffer[:n]); refused != nil {
+				return 0, refused
+			}
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		part := data[written:min(written+maxWrite, len(data))]
+		c.keeper.account.Writing(c.entry, true, time.Now())
+		n, err := c.Conn.Write(part)
+		now := time.Now()
+		c.keeper.account.Moved(c.entry, n, now)
+		c.keeper.account.Writing(c.entry, false, now)
+		written += n
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.keeper.account.Close(c.entry)
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending direction.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return c.Close()
+}
+
+// Hold adds bytes to what the connection holds; a negative number gives them back. It returns ErrNoMemory if there is no room
+// for them.
+func (c *Conn) Hold(bytes int64) error {
+	if c == nil || bytes == 0 {
+		return nil
+	}
+	held, victims := c.keeper.account.Hold(c.entry, bytes, time.Now())
+	closeAll(victims)
+	if !held && bytes > 0 {
+		return ErrNoMemory
+	}
+	return nil
+}
+
+// Run records that the process works on further requests of the connection, or on fewer.
+func (c *Conn) Run(requests int) {
+	if c != nil {
+		c.keeper.account.Run(c.entry, requests, time.Now())
+	}
+}
+
+// Widen enlarges the receive buffer of a connection with a long body, if there is memory for it. It is called for each part of
+// the body, with the number of bytes before and after it.
+func (c *Conn) Widen(before, after int64) {
+	if c == nil || before > longBody || after <= longBody {
+		return
+	}
+	c.widen.Do(func() {
+		tcp, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
+		if ok && c.Hold(longBodyBuffer) == nil {
+			// Without the larger buffer the body takes longer.
+			_ = tcp.SetReadBuffer(longBodyBuffer)
+		}
+	})
+}
+
+// Begin records that a request begins whose first bytes have been read before.
+func (c *Conn) Begin() {
+	if c != nil {
+		c.keeper.account.Begin(c.entry, time.Now())
+	}
+}
+
+// Idle records that all requests of the connection are complete.
+func (c *Conn) Idle() {
+	if c != nil {
+		c.keeper.account.Idle(c.entry, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/resources/head.go
@@ -0,0 +1,71 @@
+package resources
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+)
+
+// headCounter counts what the header of a request weighs while it arrives at a server that reads it by itself.
+type headCounter struct {
+	conn *Conn
+
+	mu sync.Mutex
+	// started is set once bytes were read. http2 is set if the connection carries HTTP/2, whose headers are counted when they
+	// are handled.
+	started, http2 bool
+	// done is set once the header is complete. held is what the connection holds for it.
+	done bool
+	held int64
+	// last holds the last bytes, in which the empty line at the end of the header may have begun.
+	last []byte
+}
+
+// read counts bytes of a header. Bytes behind the header are not counted.
+func (h *headCounter) read(data []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.started {
+		h.started = true
+		h.http2 = bytes.HasPrefix(data, []byte("PRI * HTTP/2"))
+	}
+	if h.done || h.http2 {
+		// Frames such as pings are no requests.
+		return nil
+	}
+	h.conn.Begin()
+	h.last = append(h.last, data[:min(len(data), 3)]...)
+	h.done = bytes.Contains(data, []byte("\r\n\r\n")) || bytes.Contains(h.last, []byte("\r\n\r\n"))
+	h.last = append(h.last[:0], data[max(0, len(data)-3):]...)
+	weight := HeadWeight(bytes.Count(data, []byte("\n")), len(data))
+	if err := h.conn.Hold(weight); err != nil {
+		return err
+	}
+	h.held += weight
+	return nil
+}
+
+// reset begins with the next request.
+func (h *headCounter) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.conn.Hold(-h.held)
+	h.done, h.held, h.last = false, 0, nil
+}
+
+// HeadWeight returns the memory of a header with a number of fields and bytes.
+func HeadWeight(fields, length int) int64 {
+	return int64(fields)*fieldCost + int64(length)*textCopies
+}
+
+// requestWeight returns the memory of the header of a request.
+func requestWeight(r *http.Request) int64 {
+	fields, length := 0, len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			fields++
+			length += len(name) + len(value)
+		}
+	}
+	return HeadWeight(fields, length)
+}
--- /dev/null
+++ b/internal/resources/server.go
@@ -0,0 +1,121 @@
+package resources
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Serve sets up a server of net/http, so that its connections and requests are in the account once it serves the returned
+// listener. It replaces the server's handler and hooks; the hooks that were set are called, too.
+func (k *Keeper) Serve(server *http.Server, next net.Listener, class Class) net.Listener {
+	heads := &headCounters{heads: map[*Conn]*headCounter{}}
+	connContext := server.ConnContext
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, ConnOf(c))
+	}
+	server.ConnState = func(c net.Conn, state http.ConnState) { heads.changeState(ConnOf(c), state) }
+	server.Handler = handler(server.Handler, class)
+	return k.Listener(next, class)
+}
+
+type connKey struct{}
+
+// headCounters holds the counters of the headers at one server.
+type headCounters struct {
+	mu    sync.Mutex
+	heads map[*Conn]*headCounter
+}
+
+func (h *headCounters) changeState(c *Conn, state http.ConnState) {
+	if c == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		counter := &headCounter{conn: c}
+		h.heads[c] = counter
+		c.onRead = counter.read
+	case http.StateActive:
+		c.Begin()
+	case http.StateIdle:
+		if counter := h.heads[c]; counter != nil {
+			counter.reset()
+		}
+		c.Idle()
+	case http.StateClosed, http.StateHijacked:
+		delete(h.heads, c)
+	}
+}
+
+// handler keeps account of the requests that next handles.
+func handler(next http.Handler, class Class) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(*Conn)
+		conn.Run(1)
+		defer conn.Run(-1)
+		if r.ProtoMajor >= 2 {
+			weight := requestWeight(r)
+			if conn.Hold(weight) != nil {
+				http.Error(w, ErrNoMemory.Error(), http.StatusServiceUnavailable)
+				return
+			}
+			defer func() { _ = conn.Hold(-weight) }()
+		}
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		// Otherwise the server reads the body to its end within the first write of the handler, and a client that stops
+		// short would seem to wait for the process. Writers without connections of their own do not support it.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		body := &body{ReadCloser: r.Body, conn: conn, limit: class.MaxBody}
+		defer body.release()
+		// The server looks at the body of its own request when the handler has returned.
+		counted := *r
+		counted.Body = body
+		next.ServeHTTP(w, &counted)
+	})
+}
+
+// body is the body of a request. It holds memory for what its handler has read, up to a limit.
+type body struct {
+	io.ReadCloser
+	conn  *Conn
+	limit int64
+
+	mu   sync.Mutex
+	read int64
+	held int64
+}
+
+// Read returns ErrNoMemory if there is no room for more.
+func (b *body) Read(buffer []byte) (int, error) {
+	b.conn.Run(-1)
+	n, err := b.ReadCloser.Read(buffer)
+	b.conn.Run(1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	more := min(int64(n), max(b.limit-b.read, 0)) * textCopies
+	b.conn.Widen(b.read, b.read+int64(n))
+	b.read += int64(n)
+	if refused := b.conn.Hold(more); refused != nil {
+		return 0, refused
+	}
+	b.held += more
+	return n, err
+}
+
+func (b *body) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.conn.Hold(-b.held)
+	b.held = 0
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,8 @@
 	RetrySlack float64 `validate:"gte=0" flag:"retry-slack"`
 	// MemoryLimitMB is the memory in MB above which the process is killed from outside. Zero means that there is no limit.
 	MemoryLimitMB int `validate:"gte=0" flag:"memory-limit"`
+	// MaxDescriptors is the number of descriptors that the process may have open. Zero selects the limit of the system.
+	MaxDescriptors int `validate:"gte=0" flag:"max-descriptors"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
 	Seeds []string `validate:"dive,ipport" flag:"seeds"`
 	// Services lists the services that the callers of this node call. An empty list means all services.
@@ -143,6 +145,7 @@
 	flags.Float64Var(&s.RetryRatio, "retry-ratio", 0, "ratio of retries to the calls of a service, over all nodes with a gate, 0 to 1; 0 for the default (node)")
 	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
 	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the process is killed from outside; 0 for none")
+	flags.IntVar(&s.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may have open; 0 for the limit of the system")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return listFlags{
 		peers:            flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
