Admit calls by the services that their runs call, and say not run where it is true

Cause: an outer call was admitted by the room of its own service. Runs whose inner call found no room failed after they had used their slots, were sent again by the node, and counted against their version and backend server. Calls whose deadline passed at another node's gate were answered 504 although that gate knew that they had not run.

Change: with admission.inner-calls (set by documents with customers or long responses) a node learns what the runs beside it call, marks inner calls, lets them go first and wait until their deadline, refuses outer calls before their run while the inner service is full, and does not repeat runs that lost an inner call. A node waits up to 100 ms past the deadline for a gate's word on whether a call has run.

--- a/internal/calls/call.go
+++ b/internal/calls/call.go
@@ -30,6 +30,8 @@
 	Idempotent bool
 	// Repeated is set while the call is sent again after an attempt that reached a backend server or may have.
 	Repeated bool
+	// Inner is set if a run in flight has made the call. Without its response that run fails.
+	Inner bool
 	// Customer is the name of the customer whose key the caller presented, empty for a call without one.
 	Customer string
 	// Priority is the priority of the call; 0 is the highest.
--- a/internal/calls/headers.go
+++ b/internal/calls/headers.go
@@ -10,6 +10,9 @@
 type Headers struct {
 	// RequestID is the ID of an attempt; backend servers repeat it in the response.
 	RequestID string
+	// IDSeparator follows the request ID of a run at the beginning of the request IDs of the calls that the run makes. It is
+	// empty if request IDs do not tell which run makes a call.
+	IDSeparator string
 	// DeadlineMs is the time in milliseconds for which the caller waits for the response.
 	DeadlineMs string
 	// Caller is the service of the caller.
@@ -36,6 +39,7 @@
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID:    "Samphireflow-Request-Id",
+		IDSeparator:  ".",
 		DeadlineMs:   "Samphireflow-Deadline-Ms",
 		Caller:       "Samphireflow-Caller",
 		TargetServer: "Samphireflow-Target",
--- a/internal/calls/hop_metadata.go
+++ b/internal/calls/hop_metadata.go
@@ -19,6 +19,7 @@
 	Priority   int
 	Idempotent bool
 	Repeated   bool
+	Inner      bool
 	// Customer is the name of the customer, empty for a call without one.
 	Customer  string
 	Objective time.Duration
@@ -29,7 +30,7 @@
 
 // Numbers of fields in HopCallHeader and HopTimesHeader.
 const (
-	hopCallFieldCount  = 6
+	hopCallFieldCount  = 7
 	hopTimesFieldCount = 3
 )
 
@@ -39,7 +40,7 @@
 // Write sets the header fields that ReadHopMetadata reads. HopCallHeader holds what is the same for many calls, so that it
 // compresses well; HopTimesHeader holds the times in milliseconds.
 func (h HopMetadata) Write(header http.Header) {
-	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), formatBool(h.Idempotent), formatBool(h.Repeated), url.PathEscape(h.Customer)}, " "))
+	header.Set(HopCallHeader, strings.Join([]string{url.PathEscape(h.Server), url.PathEscape(h.Route), strconv.Itoa(h.Priority), formatBool(h.Idempotent), formatBool(h.Repeated), url.PathEscape(h.Customer), formatBool(h.Inner)}, " "))
 	header.Set(HopTimesHeader, strings.Join([]string{formatMilliseconds(h.Objective), formatMilliseconds(h.Deadline), formatMilliseconds(h.FinishBy)}, " "))
 }
 
@@ -60,7 +61,7 @@
 	if len(fields) != hopCallFieldCount {
 		return HopMetadata{}, errors.Errorf("%q does not have %d fields", header.Get(HopCallHeader), hopCallFieldCount)
 	}
-	h := HopMetadata{Idempotent: fields[3] == "1", Repeated: fields[4] == "1"}
+	h := HopMetadata{Idempotent: fields[3] == "1", Repeated: fields[4] == "1", Inner: fields[6] == "1"}
 	var err error
 	if h.Server, err = url.PathUnescape(fields[0]); err != nil {
 		return HopMetadata{}, errors.Wrap(err, "backend server")
--- a/internal/calls/hop_metadata_test.go
+++ b/internal/calls/hop_metadata_test.go
@@ -24,6 +24,7 @@
 			Priority:   rapid.Int().Draw(t, "priority"),
 			Idempotent: rapid.Bool().Draw(t, "idempotent"),
 			Repeated:   rapid.Bool().Draw(t, "repeated"),
+			Inner:      rapid.Bool().Draw(t, "inner"),
 			Customer:   rapid.String().Draw(t, "customer"),
 			Objective:  duration("objective"),
 			Deadline:   duration("deadline"),
--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -24,6 +24,12 @@
 	ReasonNone Reason = ""
 	// ReasonFull means that the gate's queue has no room: the call would have waited for too long.
 	ReasonFull Reason = "full"
+	// ReasonInnerFull means that a service which the run would call has no room, so that the run would fail. It is the same
+	// at all gates.
+	ReasonInnerFull Reason = "inner-full"
+	// ReasonInnerFailed means that the backend server has answered with an error after a call that the run made to another
+	// service had failed. It says nothing about the backend server.
+	ReasonInnerFailed Reason = "inner-failed"
 	// ReasonDraining means that the backend server is draining.
 	ReasonDraining Reason = "draining"
 	// ReasonMisdirected means that the call reached another backend server or a node without one, or could not be read.
@@ -34,7 +40,7 @@
 	ReasonShed Reason = "shed"
 	// ReasonBroken means that the exchange ended without a complete response of the backend server.
 	ReasonBroken Reason = "broken"
-	// ReasonDeadline means that the deadline passed before the response arrived.
+	// ReasonDeadline means that the deadline passed before the response arrived or before the call was sent.
 	ReasonDeadline Reason = "deadline"
 	// ReasonCanceled means that the caller closed its connection.
 	ReasonCanceled Reason = "caller-left"
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/gate"
 	"samphireflow/internal/hop"
@@ -53,10 +54,17 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
 	stop := &calls.StopAdmission{}
+	innerCalls := admission.NewController(admission.Options{
+		IDSeparator: headers.IDSeparator, Metrics: admission.NewMetrics(registry),
+		LimitChanged: func(service string, limited bool, pressure, committed float64) {
+			logger.Info().Str("service", service).Bool("limited", limited).Float64("pressure", pressure).
+				Float64("expected_inner_calls", committed).Msg("calls are admitted by the room of a service that their runs call")
+		},
+	})
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
-			LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+			LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
@@ -70,6 +78,7 @@
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
 		Suspects:      g.suspects,
+		Admission:     innerCalls,
 		Stop:          stop,
 		Metrics:       ingress.NewMetrics(registry),
 		Logger:        logger,
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -8,6 +8,8 @@
 	Route string
 	// Customer is the name of the customer that sent the call, empty if there is none.
 	Customer string
+	// Inner is set for a call of a run in flight; it goes before the calls of callers.
+	Inner bool
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// Objective is the time by which the response should arrive: the start of the call plus the route's latency objective.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/exchange"
 )
@@ -38,9 +39,11 @@
 	// Recorder counts the outcomes of the calls that were sent to the backend server.
 	Recorder Recorder
 	// Stop decides which calls of other nodes are taken during a planned stop of this node; nil takes all.
-	Stop   *calls.StopAdmission
-	Logger zerolog.Logger
-	Now    func() time.Time
+	Stop *calls.StopAdmission
+	// Admission decides by the room of the services that runs call; nil admits every call.
+	Admission *admission.Controller
+	Logger    zerolog.Logger
+	Now       func() time.Time
 }
 
 // Recorder counts outcomes by service, version and route; *outcome.Aggregator implements it. A broken call is one that
@@ -114,7 +117,12 @@
 // ends, the call is aborted.
 func (g *Gate) Pass(ctx context.Context, c *calls.Call, instance string, finishBy time.Time) *calls.Result {
 	result := g.pass(ctx, c, instance, finishBy)
-	load := g.Load()
+	g.mu.Lock()
+	load := g.load()
+	if c.Inner {
+		result.Pressure = g.queue.Pressure(c.Priority)
+	}
+	g.mu.Unlock()
 	result.Load = &load
 	return result
 }
@@ -127,13 +135,40 @@
 	if refused := g.checkBreaker(); refused != nil {
 		return refused
 	}
-	queue, decision := g.waitForSlot(ctx, c, server, finishBy)
+	run, refused := g.admitRun(c)
+	if refused != nil {
+		return refused
+	}
+	result := g.passAdmitted(ctx, c, server, finishBy, run)
+	ran := result.Outcome != calls.NotRun
+	succeeded := result.Outcome == calls.Answered && result.Response.Status < minServerErrorStatus
+	g.options.Admission.End(run, ran, succeeded, g.options.Now())
+	return result
+}
+
+// admitRun admits a call by the room of the services that its run will call, or refuses it. Inner calls are admitted.
+func (g *Gate) admitRun(c *calls.Call) (*admission.Run, *calls.Result) {
+	if c.Inner {
+		return g.options.Admission.Begin(c.ID, c.Route, c.Priority, g.options.Now()), nil
+	}
+	run, decision := g.options.Admission.Admit(c.ID, c.Route, c.Priority, g.options.Now())
+	if decision.Refused() {
+		result := refusal(calls.ReasonInnerFull, "service "+decision.Service+", which the run would call, has no room")
+		result.RetryAfter = decision.RetryAfter
+		return nil, result
+	}
+	return run, nil
+}
+
+// passAdmitted waits for a slot and sends the call.
+func (g *Gate) passAdmitted(ctx context.Context, c *calls.Call, server serverIncarnation, finishBy time.Time, run *admission.Run) *calls.Result {
+	queue, decision := g.waitForSlot(ctx, c, finishBy)
 	if decision.Action != Run {
 		return g.queueRefusal(ctx, decision)
 	}
 	// While the call waited, the backend server may have started to drain, or another instance may have replaced it.
-	if _, refused := g.resolveServer(instance); refused != nil {
-		g.release(queue, c.Route, 0)
+	if _, refused := g.resolveServer(server.instance); refused != nil {
+		g.release(queue, c, 0)
 		return refused
 	}
 	g.recordRun(c)
@@ -142,24 +177,30 @@
 	result := g.send(ctx, c, server)
 	calls.CancelWhenRead(result.Response, cancel)
 	result.Latency = g.options.Now().Sub(started)
+	if result.Outcome == calls.Answered && result.Response.Status >= minServerErrorStatus && g.options.Admission.LostInner(run) {
+		result.Reason = calls.ReasonInnerFailed
+	}
 	g.recordOutcome(c, server, result)
 	switch {
 	case result.Outcome != calls.Answered:
-		g.release(queue, c.Route, 0)
+		g.release(queue, c, 0)
 	case result.Response.Rest != nil:
 		// The backend server is still sending, so the call keeps its slot.
 		result.Response.Rest = newSlotHolder(ctx, result.Response.Rest, func() {
-			g.release(queue, c.Route, g.options.Now().Sub(started))
+			g.release(queue, c, g.options.Now().Sub(started))
 		})
 	default:
-		g.release(queue, c.Route, result.Latency)
+		g.release(queue, c, result.Latency)
 	}
 	return result
 }
 
 // recordOutcome counts the outcome, by which versions of a service are compared. Canceled and refused calls are not
-// counted, because they say nothing about the version.
+// counted, because they say nothing about the version, nor are runs that failed because an inner call did.
 func (g *Gate) recordOutcome(c *calls.Call, server serverIncarnation, result *calls.Result) {
+	if result.Reason == calls.ReasonInnerFailed {
+		return
+	}
 	switch result.Outcome {
 	case calls.Answered:
 		g.options.Recorder.Record(server.service, server.version, c.Route, result.Response.Status < minServerErrorStatus, false, result.Latency)
@@ -230,8 +271,8 @@
 
 // waitForSlot waits until the queue decides on the call or finishBy passes. If the decision is Run, the call holds a slot
 // of the returned queue.
-func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, server serverIncarnation, finishBy time.Time) (*Queue, Decision) {
-	entry := &Entry{Route: c.Route, Customer: c.Customer, Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
+func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, finishBy time.Time) (*Queue, Decision) {
+	entry := &Entry{Route: c.Route, Customer: c.Customer, Inner: c.Inner, Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
 	g.mu.Lock()
 	queue := g.queue
 	now := g.options.Now()
@@ -268,10 +309,14 @@
 }
 
 // release frees the slot of a call. A latency of 0 is not counted in the queue's mean latencies.
-func (g *Gate) release(queue *Queue, route string, latency time.Duration) {
+func (g *Gate) release(queue *Queue, c *calls.Call, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	queue.Release(route, latency, g.options.Now())
+	if c.Inner {
+		queue.ReleaseInner(c.Route, latency, g.options.Now())
+		return
+	}
+	queue.Release(c.Route, latency, g.options.Now())
 }
 
 // send sends the call to the backend server and returns the result. The end of the context aborts the exchange, also while the
@@ -279,7 +324,7 @@
 func (g *Gate) send(ctx context.Context, c *calls.Call, server serverIncarnation) *calls.Result {
 	response, err := g.client.Do(ctx, server.addr, g.request(c, server, g.options.Now()))
 	if err != nil {
-		return g.exchangeFailure(err)
+		return g.exchangeFailure(ctx, err)
 	}
 	g.closeBreaker()
 	return g.classify(response)
@@ -296,13 +341,16 @@
 
 // exchangeFailure returns the result of a call whose exchange with the backend server failed. A failed connection attempt
 // opens the circuit breaker.
-func (g *Gate) exchangeFailure(err error) *calls.Result {
+func (g *Gate) exchangeFailure(ctx context.Context, err error) *calls.Result {
 	switch {
 	case errors.Is(err, context.Canceled) && errors.Is(err, exchange.ErrNotSent):
 		return &calls.Result{Outcome: calls.NotRun, Reason: calls.ReasonCanceled, Detail: err.Error()}
 	case errors.Is(err, context.Canceled):
 		return &calls.Result{Outcome: calls.Canceled, Reason: calls.ReasonCanceled, Detail: err.Error()}
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, exchange.ErrNotSent) && ctx.Err() != nil:
+		// The deadline passed before a connection was open, which says nothing about the backend server.
+		return refusal(calls.ReasonDeadline, err.Error())
+	case errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, exchange.ErrNotSent):
 		return &calls.Result{Outcome: calls.Expired, Reason: calls.ReasonDeadline, Detail: err.Error()}
 	case errors.Is(err, exchange.ErrNotSent):
 		g.mu.Lock()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -137,3 +137,14 @@
 	require.Contains(t, late, string(calls.ReasonDraining), "another backend server is tried")
 	require.Contains(t, pass(4*time.Second), string(calls.ReasonUnreachable), "what ends in time is passed on")
 }
+
+// A call whose deadline has passed before it is sent has not run. Its caller may send it again even if it must not run twice.
+func TestCallThatWasNotSentBeforeItsDeadlineHasNotRun(t *testing.T) {
+	clock := time.Now()
+	g, _ := newTestGate("127.0.0.1:1", &clock)
+	ctx, cancel := context.WithDeadline(context.Background(), clock.Add(-time.Second))
+	defer cancel()
+	result := g.Pass(ctx, newTestCall(clock), "a", clock.Add(time.Second))
+	require.Equal(t, calls.NotRun, result.Outcome)
+	require.Equal(t, calls.ReasonDeadline, result.Reason)
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -53,6 +53,7 @@
 		Header:     calls.EndToEnd(r.Header),
 		Idempotent: metadata.Idempotent,
 		Repeated:   metadata.Repeated,
+		Inner:      metadata.Inner,
 		Customer:   metadata.Customer,
 		Priority:   metadata.Priority,
 		Objective:  now.Add(metadata.Objective),
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 )
 
@@ -10,6 +11,9 @@
 	// evictionFactor is the factor by which a waiting call's expected time to completion may exceed the time left until
 	// its FinishBy. The margin keeps small changes of the estimate from evicting calls.
 	evictionFactor = 1.25
+	// outerShare is the part of the slots that inner calls leave to the calls of callers while those wait, so that no route
+	// starves. A run that is admitted needs its inner calls, so they may take most of the slots.
+	outerShare = 0.125
 	// minRetryAfter is the shortest time after which a refused caller is asked to retry.
 	minRetryAfter = 20 * time.Millisecond
 )
@@ -21,10 +25,15 @@
 // refused immediately, while its caller can still try another backend server. Calls that can still meet their objective
 // run before those that cannot, then by priority and by objective, so that the slots serve the most valuable calls.
 //
+// Inner calls go first, because a refused one wastes the run that made it, at another backend server. They may wait up to
+// their FinishBy, also if late. While other calls wait, those keep a part of the slots (outerShare).
+//
 // Invariant: running never exceeds slots, and a call waits only while no slot is free.
 type Queue struct {
-	slots        int
-	running      int
+	slots   int
+	running int
+	// runningInner is the number of inner calls among those in flight.
+	runningInner int
 	waiting      []*Entry
 	lastSequence uint64
 	latencies    *LatencyMeans
@@ -51,10 +60,10 @@
 	q.lastSequence++
 	e.sequence = q.lastSequence
 	if q.running < q.slots {
-		q.running++
+		q.run(e)
 		return Decision{Action: Run}
 	}
-	if q.missesObjective(e, now) && q.hasTimelyWaiter(now) {
+	if !e.Inner && q.missesObjective(e, now) && q.hasTimelyWaiter(now) {
 		return Decision{Action: Refuse, RetryAfter: max(q.expectedWait(len(q.waiting)), minRetryAfter)}
 	}
 	wait := q.expectedWait(q.countAhead(e, now))
@@ -92,11 +101,25 @@
 			e.decision <- Decision{Action: Refuse, RetryAfter: minRetryAfter}
 			continue
 		}
-		q.running++
+		q.run(e)
 		e.decision <- Decision{Action: Run}
 	}
 }
 
+// ReleaseInner is Release for an inner call.
+func (q *Queue) ReleaseInner(route string, latency time.Duration, now time.Time) {
+	q.runningInner--
+	q.Release(route, latency, now)
+}
+
+// run gives a slot to a call.
+func (q *Queue) run(e *Entry) {
+	q.running++
+	if e.Inner {
+		q.runningInner++
+	}
+}
+
 // popFirst removes and returns the waiting call that runs next.
 func (q *Queue) popFirst(now time.Time) *Entry {
 	first := 0
@@ -117,9 +140,13 @@
 	q.waiting = q.waiting[:last]
 }
 
-// runsBefore reports whether call a runs before call b. Calls that can meet their objective come first; then priority,
+// runsBefore reports whether call a runs before call b. Inner calls come first, unless other calls have less than their part
+// of the slots; calls that can meet their objective come first; then priority,
 // objective and order of arrival decide.
 func (q *Queue) runsBefore(a, b *Entry, now time.Time) bool {
+	if a.Inner != b.Inner {
+		return a.Inner == (q.runningInner < q.slots-q.outerSlots())
+	}
 	aLate, bLate := q.missesObjective(a, now), q.missesObjective(b, now)
 	switch {
 	case aLate != bLate:
@@ -132,6 +159,24 @@
 	return a.sequence < b.sequence
 }
 
+// outerSlots returns the number of slots that inner calls leave to other calls while those wait.
+func (q *Queue) outerSlots() int {
+	return int(math.Ceil(outerShare * float64(q.slots)))
+}
+
+// Pressure returns the share of the slots that are not available to further runs of the given priority that call this
+// backend server: those of inner calls, in flight and waiting, of waiting calls with a higher priority, and of other calls up
+// to their part of the slots. It exceeds 1 if calls wait.
+func (q *Queue) Pressure(priority int) float64 {
+	occupied := q.runningInner + min(q.running-q.runningInner, q.outerSlots())
+	for _, waiting := range q.waiting {
+		if waiting.Inner || waiting.Priority < priority {
+			occupied++
+		}
+	}
+	return float64(occupied) / float64(q.slots)
+}
+
 // missesObjective reports whether a call is expected to miss its objective even if it ran now.
 func (q *Queue) missesObjective(e *Entry, now time.Time) bool {
 	return now.Add(q.latencies.ForRoute(e.Route)).After(e.Objective)
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -31,6 +31,10 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked to retry.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// resultGrace is the time after the deadline for which a node still waits for a gate to say whether the call has run. The
+	// gate gives the backend server half of it to respond to the missed deadline itself; the rest is for the way back. A
+	// caller whose call has not run may send it again, also if it must not run twice.
+	resultGrace = 100 * time.Millisecond
 )
 
 // dispatch is the handling of one call by this node: it chooses backend servers, makes the attempts and decides on
@@ -61,9 +65,9 @@
 }
 
 // run makes attempts until a backend server has responded or the call is refused or fails. The exchange with the backend
-// server lasts until the deadline, or until the response has been read.
+// server lasts until the deadline, or until the response has been read. The result of an attempt may arrive shortly after the deadline.
 func (d *dispatch) run(ctx context.Context) (*exchange.Response, *refusal) {
-	ctx, cancel := context.WithDeadline(ctx, d.call.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, d.call.Deadline.Add(resultGrace))
 	response, refused := d.makeAttempts(ctx)
 	calls.CancelWhenRead(response, cancel)
 	return response, refused
@@ -84,6 +88,9 @@
 	d.late = d.ingress.overloads.overloaded(d.service, d.arrived)
 	d.ingress.retries.recordFirstSend(d.service, d.ingress.options.Gate.RepeatedShare(), d.table.ServerCount, d.arrived)
 	for {
+		if d.deadlinePassed() {
+			return nil, d.deadlineRefusal()
+		}
 		server := d.nextServer(servers)
 		if server == nil {
 			return nil, d.finalRefusal()
@@ -155,6 +162,10 @@
 		margin := time.Duration(objectiveMargin * float64(d.route.Settings.Objective))
 		return earlier(d.call.Objective.Add(-margin), d.call.Deadline)
 	}
+	if d.call.Inner {
+		// Its run waits for it, and is lost without it.
+		return d.call.Deadline
+	}
 	now := d.ingress.options.Now()
 	return now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
 }
@@ -198,8 +209,12 @@
 }
 
 // recordForBreaker records the outcome of a call to the old or the new version of a move, for the circuit breaker that
-// limits this node's calls to the new version. Canceled and refused calls are not recorded.
+// limits this node's calls to the new version. Canceled and refused calls are not recorded, nor runs
+// that failed because an inner call did.
 func (d *dispatch) recordForBreaker(server *routing.Server, result *calls.Result) {
+	if result.Reason == calls.ReasonInnerFailed {
+		return
+	}
 	switch result.Outcome {
 	case calls.Answered:
 		d.ingress.versionBreaker.Record(d.ingress.options.Now(), d.config, server.Info.Version, result.Response.Status >= http.StatusInternalServerError)
@@ -228,6 +243,11 @@
 	if result.Response.Rest != nil || !d.mayRetry() {
 		return false
 	}
+	if result.Reason == calls.ReasonInnerFailed {
+		// The run has retried its inner calls already. Sent again, it would make all of them again, and each counts as a
+		// retry at the other service.
+		return false
+	}
 	return d.call.Idempotent && d.ingress.retries.takeRetry(d.service, d.ingress.options.Now())
 }
 
@@ -241,7 +261,7 @@
 
 // mayRetry reports whether the call can be sent again and the route allows one more attempt.
 func (d *dispatch) mayRetry() bool {
-	return d.call.Resendable() && d.sends < max(d.route.Settings.Attempts, 1)
+	return d.call.Resendable() && !d.deadlinePassed() && d.sends < max(d.route.Settings.Attempts, 1)
 }
 
 // handleRefusal handles an attempt that did not run. It returns nil if another backend server may be tried, otherwise the
@@ -263,6 +283,9 @@
 		if d.retryAfter == 0 || result.RetryAfter < d.retryAfter {
 			d.retryAfter = result.RetryAfter
 		}
+	case calls.ReasonInnerFull:
+		d.retryAfter = result.RetryAfter
+		return d.finalRefusal()
 	case calls.ReasonShed:
 		if !d.mayRetry() || !d.ingress.retries.takeRetry(d.service, d.ingress.options.Now()) {
 			return d.finalRefusal()
@@ -283,11 +306,24 @@
 // contextEnded returns the refusal of a call whose context ended during an attempt that did not run.
 func (d *dispatch) contextEnded(ctx context.Context) *refusal {
 	if context.Cause(ctx) == context.DeadlineExceeded || d.mayHaveRun() {
-		return expired()
+		return d.deadlineRefusal()
 	}
 	return notRun("the caller left", minRetryAfter)
 }
 
+// deadlinePassed reports whether the deadline of the call has passed.
+func (d *dispatch) deadlinePassed() bool {
+	return !d.ingress.options.Now().Before(d.call.Deadline)
+}
+
+// deadlineRefusal returns the refusal of a call whose deadline has passed after all its attempts have ended.
+func (d *dispatch) deadlineRefusal() *refusal {
+	if d.mayHaveRun() {
+		return expired()
+	}
+	return notRun("the deadline passed before a backend server got the call", minRetryAfter)
+}
+
 // finalRefusal returns the refusal of a call for which no further attempt is made.
 func (d *dispatch) finalRefusal() *refusal {
 	if d.mayHaveRun() {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -56,7 +56,7 @@
 		return
 	}
 	d := &dispatch{ingress: i, table: table, route: route, call: c, arrived: arrived, service: pickService(route, i.options.Random)}
-	response, refused := d.run(r.Context())
+	response, refused := i.runCall(r.Context(), d)
 	i.options.Metrics.observe(d, refused, i.options.Now().Sub(arrived))
 	if r.Context().Err() != nil && response == nil {
 		// The caller has closed its connection. Aborting the handler closes this side too, so that whoever still reads
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/routing"
 	"samphireflow/internal/suspect"
@@ -39,6 +40,8 @@
 	Retries  RetryLimits
 	Headers  calls.Headers
 	Suspects Suspects
+	// Admission learns from the inner calls that arrive at the ingress. It is the one of the gate; nil learns nothing.
+	Admission *admission.Controller
 	// Stop decides which calls are taken during a planned stop of the node; nil takes all.
 	Stop    *calls.StopAdmission
 	Metrics *Metrics
--- a/internal/ingress/peer_gates.go
+++ b/internal/ingress/peer_gates.go
@@ -47,6 +47,7 @@
 		Priority:   c.Priority,
 		Idempotent: c.Idempotent,
 		Repeated:   c.Repeated,
+		Inner:      c.Inner,
 		Customer:   c.Customer,
 		Objective:  c.Objective.Sub(now),
 		Deadline:   c.Deadline.Sub(now),
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -95,6 +95,9 @@
 }
 
 func (s *ServerStats) answered(result *calls.Result, now time.Time) {
+	if result.Reason == calls.ReasonInnerFailed {
+		return
+	}
 	if result.Response.Status >= 500 {
 		s.errorRate += errorWeight * (1 - s.errorRate)
 		s.errorRateAt = now
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -94,6 +94,8 @@
 	IdleTimeout time.Duration
 	// Authenticated is set if calls need the key of a customer, but on public routes.
 	Authenticated bool
+	// InnerCalls is set if calls are admitted by the room of the services that their runs call.
+	InnerCalls bool
 }
 
 func parseCallerLimits(settings []*apiv1.Setting) CallerLimits {
@@ -104,6 +106,7 @@
 		HeaderTimeout: v.duration(tree.KeyCallerHeaderTimeout),
 		IdleTimeout:   v.duration(tree.KeyCallerIdleTimeout),
 		Authenticated: v.boolean(tree.KeyCallerAuthenticated),
+		InnerCalls:    v.boolean(tree.KeyAdmissionInnerCalls),
 	}
 }
 
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -92,7 +92,7 @@
 		tree.KeyRoutePublic, tree.KeyRouteLongResponses,
 	}
 	// callerKeys are the keys of the snapshot itself, which limit the requests of callers.
-	callerKeys   = []string{tree.KeyCallerHeaderBytes, tree.KeyCallerBodyBytes, tree.KeyCallerHeaderTimeout, tree.KeyCallerIdleTimeout, tree.KeyCallerAuthenticated}
+	callerKeys   = []string{tree.KeyCallerHeaderBytes, tree.KeyCallerBodyBytes, tree.KeyCallerHeaderTimeout, tree.KeyCallerIdleTimeout, tree.KeyCallerAuthenticated, tree.KeyAdmissionInnerCalls}
 	resourceKeys = []string{tree.KeyResourceCallsRate, tree.KeyResourceBurst}
 	customerKeys = []string{tree.KeyCustomerKeyDigests, tree.KeyCustomerPriority, tree.KeyCustomerRate, tree.KeyCustomerBurst}
 	// inheritedRouteKeys are the keys of a route's configuration that its ancestors can set.
--- a/internal/tree/replace.go
+++ b/internal/tree/replace.go
@@ -53,12 +53,15 @@
 	return edit
 }
 
+// documentKeys are the keys of global settings that stay in force only while a document comes with them.
+var documentKeys = []string{KeyCallerAuthenticated, KeyAdmissionInnerCalls}
+
 // unsetOthers returns the changes that unset all keys that are not wanted, sorted by key. The version of a service stays, and
-// so do global settings, except that callers must present keys only while the wanted customers come with that setting.
+// so do global settings, but for documentKeys.
 func (b *Branch) unsetOthers(wanted []*apiv1.Setting) []*apiv1.Change {
 	var changes []*apiv1.Change
 	for key := range b.values {
-		kept := key == KeyServiceVersion || b.Path.Level == LevelGlobal && key != KeyCallerAuthenticated || slices.ContainsFunc(wanted, func(s *apiv1.Setting) bool { return s.Key == key })
+		kept := key == KeyServiceVersion || b.Path.Level == LevelGlobal && !slices.Contains(documentKeys, key) || slices.ContainsFunc(wanted, func(s *apiv1.Setting) bool { return s.Key == key })
 		if !kept {
 			changes = append(changes, &apiv1.Change{Key: key, Unset: true})
 		}
--- a/internal/tree/schema.go
+++ b/internal/tree/schema.go
@@ -93,6 +93,7 @@
 	KeyCustomerPriority    = "customer.priority"
 	KeyCustomerRate        = "customer.calls-per-second"
 	KeyCustomerBurst       = "customer.burst"
+	KeyAdmissionInnerCalls = "admission.inner-calls"
 	KeyNote                = "note"
 )
 
@@ -154,6 +155,7 @@
 	{Key: KeyCustomerPriority, Kind: KindInt, Min: 0, Max: 100, Levels: []Level{customerOnly}, Help: "rank of the customer's calls, in place of that of the route"},
 	{Key: KeyCustomerRate, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{customerOnly}, Help: "calls a second that the customer may send to all nodes together, 0 for no limit"},
 	{Key: KeyCustomerBurst, Kind: KindFloat, Min: 0, Max: 1e6, Levels: []Level{customerOnly}, Help: "calls that the customer may send at once beyond the rate"},
+	{Key: KeyAdmissionInnerCalls, Kind: KindBool, Levels: []Level{LevelGlobal}, Help: "whether calls are admitted by the room of the services that their runs call"},
 	{Key: KeyNote, Kind: KindText, Levels: []Level{LevelGlobal, LevelSite, LevelService, LevelServiceSite, LevelRoute, LevelRouteSite, LevelResource, LevelCustomer}, Help: "free text for operators"},
 }
 
