--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -64,16 +64,23 @@
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
-			LocalServer: n.LocalServer, Headers: headers, Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Logger: logger, Now: time.Now,
+			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
+			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
+			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "samphireflow_gate_paced_refusals_total",
+		Help: "Calls that the gate refused because the backend server is cold.",
+	}, func() float64 { return float64(g.gate.PacedRefusals()) }))
 	g.service = proxy.NewPeerService(n, g.suspects)
 	g.ingress = ingress.New(ingress.Options{
 		Instance:      s.Instance,
 		FailureDomain: s.FailureDomain,
 		Service:       s.Service,
 		Table:         n.Table,
+		Outdated:      n.Outdated,
 		Gate:          g.gate,
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
@@ -88,6 +95,21 @@
 	return g
 }
 
+// customerWeight returns the function that weighs customers by their configured rates.
+func customerWeight(n *node.Node) func(name string) float64 {
+	return func(name string) float64 {
+		table := n.Table()
+		if table == nil {
+			return 0
+		}
+		customer := table.Customers.ByName(name)
+		if customer == nil {
+			return 0
+		}
+		return customer.Rate
+	}
+}
+
 // register mounts the twirp service that other nodes and the platform call.
 func (g *gatedTraffic) register(mux *http.ServeMux) {
 	service := apiv1.NewTrafficServer(g.service)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,8 +38,17 @@
 	// LocalServer returns the current announcement of the backend server on this machine, nil if there is none.
 	LocalServer func() *apiv1.BackendServer
 	Headers     calls.Headers
+	// CustomerWeight returns the weight of a customer when customers compete for slots, 0 if it has none; nil gives all
+	// customers the same weight.
+	CustomerWeight func(customer string) float64
 	// Recorder counts the outcomes of the calls that were sent to the backend server.
 	Recorder Recorder
+	// ColdUntil returns the end of the coldness that the backend server announces; nil if it announces none.
+	ColdUntil func() time.Time
+	// Terms returns what the configuration says of a backend server; nil means that it says nothing.
+	Terms func(server *apiv1.BackendServer) Terms
+	// ColdOverrun and ColdSlack say how far the calls to a cold backend server may exceed its rate; see coldLimit.
+	ColdOverrun, ColdSlack float64
 	// Stop decides which calls of other nodes are taken during a planned stop of this node; nil takes all.
 	Stop *calls.StopAdmission
 	// Admission decides by the room of the services that runs call; nil admits every call.
@@ -67,6 +78,8 @@
 	breakerOpen bool
 	// repeatedShare is the share of retries among the latest runs, a mean that gives each run the weight repeatedWeight.
 	repeatedShare float64
+	cold          coldState
+	pacedRefusals atomic.Uint64
 }
 
 // serverIncarnation identifies one start of a backend server, with the address and version that it announced.
@@ -80,7 +93,10 @@
 
 // New returns a gate.
 func New(options Options) *Gate {
-	return &Gate{options: options, client: exchange.NewClient(dialTimeout), queue: NewQueue(defaultSlots)}
+	return &Gate{
+		options: options, client: exchange.NewClient(dialTimeout), queue: NewQueue(defaultSlots),
+		cold: coldState{pace: NewPace(options.Now())},
+	}
 }
 
 // Load returns the current load of the backend server.
@@ -91,7 +107,7 @@
 }
 
 func (g *Gate) load() calls.Load {
-	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots()}
+	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots(), Slowdown: g.queue.slowdown(g.options.Now())}
 }
 
 // RepeatedShare returns the share of retries among the latest runs, from 0 to 1.
@@ -135,6 +151,9 @@
 	if refused := g.checkBreaker(); refused != nil {
 		return refused
 	}
+	if refused := g.checkPace(false); refused != nil {
+		return refused
+	}
 	run, refused := g.admitRun(c)
 	if refused != nil {
 		return refused
@@ -162,19 +181,24 @@
 
 // passAdmitted waits for a slot and sends the call.
 func (g *Gate) passAdmitted(ctx context.Context, c *calls.Call, server serverIncarnation, finishBy time.Time, run *admission.Run) *calls.Result {
-	queue, decision := g.waitForSlot(ctx, c, finishBy)
+	queue, decision := g.waitForSlot(ctx, c, server, finishBy)
 	if decision.Action != Run {
 		return g.queueRefusal(ctx, decision)
 	}
 	// While the call waited, the backend server may have started to drain, or another instance may have replaced it.
-	if _, refused := g.resolveServer(server.instance); refused != nil {
+	_, refused := g.resolveServer(server.instance)
+	if refused == nil {
+		refused = g.checkPace(true)
+	}
+	if refused != nil {
 		g.release(queue, c, 0)
 		return refused
 	}
 	g.recordRun(c)
 	started := g.options.Now()
+	slowdown := g.slowdown(queue)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
-	result := g.send(ctx, c, server)
+	result := g.send(ctx, c, server, queue)
 	calls.CancelWhenRead(result.Response, cancel)
 	result.Latency = g.options.Now().Sub(started)
 	if result.Outcome == calls.Answered && result.Response.Status >= minServerErrorStatus && g.options.Admission.LostInner(run) {
@@ -187,10 +211,10 @@
 	case result.Response.Rest != nil:
 		// The backend server is still sending, so the call keeps its slot.
 		result.Response.Rest = newSlotHolder(ctx, result.Response.Rest, func() {
-			g.release(queue, c, g.options.Now().Sub(started))
+			g.release(queue, c, atSlowdownOne(g.options.Now().Sub(started), slowdown))
 		})
 	default:
-		g.release(queue, c, result.Latency)
+		g.release(queue, c, atSlowdownOne(result.Latency, slowdown))
 	}
 	return result
 }
@@ -216,8 +240,8 @@
 	return &calls.Result{Outcome: calls.NotRun, Reason: reason, Detail: detail}
 }
 
-// resolveServer returns the current incarnation of the backend server, or a refusal if it is not the given instance or is
-// draining. For a new incarnation it starts an empty queue, closes the circuit breaker and drops the connections to the
+// resolveServer returns the current incarnation of the backend server, or a refusal if it is not the given instance, is
+// draining or is in an evacuated failure domain. For a new incarnation it starts an empty queue, closes the circuit breaker and drops the connections to the
 // previous incarnation.
 func (g *Gate) resolveServer(instance string) (serverIncarnation, *calls.Result) {
 	info := g.options.LocalServer()
@@ -229,6 +253,10 @@
 	case info.State != apiv1.ServerState_SERVER_STATE_READY:
 		return serverIncarnation{}, refusal(calls.ReasonDraining, "the backend server is leaving")
 	}
+	terms := g.terms(info)
+	if terms.Evacuated {
+		return serverIncarnation{}, refusal(calls.ReasonEvacuated, "failure domain "+info.FailureDomain+" is evacuated")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	announced := serverIncarnation{info.Instance, info.Incarnation, info.Addr, info.Service, info.Version}
@@ -243,7 +271,10 @@
 			slots = defaultSlots
 		}
 		g.queue = NewQueue(slots)
+		// Its own announcements say how long it is cold.
+		g.cold.told, g.cold.suspected = time.Time{}, time.Time{}
 	}
+	g.noteTerms(terms)
 	return announced, nil
 }
 
@@ -271,8 +302,8 @@
 
 // waitForSlot waits until the queue decides on the call or finishBy passes. If the decision is Run, the call holds a slot
 // of the returned queue.
-func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, finishBy time.Time) (*Queue, Decision) {
-	entry := &Entry{Route: c.Route, Customer: c.Customer, Inner: c.Inner, Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
+func (g *Gate) waitForSlot(ctx context.Context, c *calls.Call, server serverIncarnation, finishBy time.Time) (*Queue, Decision) {
+	entry := &Entry{Route: c.Route, Customer: c.Customer, Inner: c.Inner, Weight: g.customerWeight(c.Customer), Priority: c.Priority, Objective: c.Objective, FinishBy: finishBy, Deadline: c.Deadline}
 	g.mu.Lock()
 	queue := g.queue
 	now := g.options.Now()
@@ -298,17 +329,54 @@
 	return queue, <-entry.decision
 }
 
+// customerWeight returns the weight of a customer, 0 if it has none.
+func (g *Gate) customerWeight(name string) float64 {
+	if name == "" || g.options.CustomerWeight == nil {
+		return 0
+	}
+	return g.options.CustomerWeight(name)
+}
+
 // queueRefusal returns the result of a call that got no slot.
 func (g *Gate) queueRefusal(ctx context.Context, decision Decision) *calls.Result {
 	if ctx.Err() != nil {
 		return refusal(calls.ReasonCanceled, "the caller left while the call waited")
 	}
 	result := refusal(calls.ReasonFull, "the call would wait for longer than it can")
+	if decision.Slow {
+		result = refusal(calls.ReasonSlow, "the machine is too slow for the call at this moment")
+	}
 	result.RetryAfter = decision.RetryAfter
 	return result
 }
 
-// release frees the slot of a call. A latency of 0 is not counted in the queue's mean latencies.
+// hearLoad takes in what the backend server says of its machine in a response.
+func (g *Gate) hearLoad(queue *Queue, response *exchange.Response) {
+	if load, ok := calls.ParseLoad(response.Header.Get(g.options.Headers.Load)); ok && load.Slowdown > 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		queue.hearLoad(load, g.options.Now())
+	}
+}
+
+// slowdown returns the slowdown of the backend server, 0 if it does not tell it.
+func (g *Gate) slowdown(queue *Queue) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return queue.slowdown(g.options.Now())
+}
+
+// atSlowdownOne returns what the latency of a call would have been without the slowdown with which it began, 0 if that is
+// not known. The speed of the machine at the start of a run holds for the whole run.
+func atSlowdownOne(latency time.Duration, slowdown float64) time.Duration {
+	if slowdown <= 0 {
+		return latency
+	}
+	return time.Duration(float64(latency) / slowdown)
+}
+
+// release frees the slot of a call. A latency of 0 is not counted in the queue's mean latencies; others are those of a
+// slowdown of 1.
 func (g *Gate) release(queue *Queue, c *calls.Call, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -321,12 +389,14 @@
 
 // send sends the call to the backend server and returns the result. The end of the context aborts the exchange, also while the
 // rest of a long response is read.
-func (g *Gate) send(ctx context.Context, c *calls.Call, server serverIncarnation) *calls.Result {
+func (g *Gate) send(ctx context.Context, c *calls.Call, server serverIncarnation, queue *Queue) *calls.Result {
 	response, err := g.client.Do(ctx, server.addr, g.request(c, server, g.options.Now()))
 	if err != nil {
 		return g.exchangeFailure(ctx, err)
 	}
 	g.closeBreaker()
+	g.readCold(response.Header)
+	g.hearLoad(queue, response)
 	return g.classify(response)
 }
 
@@ -356,6 +426,9 @@
 		g.mu.Lock()
 		g.breakerOpen, g.nextTrial = true, g.options.Now().Add(breakerOpenTime)
 		g.mu.Unlock()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.noteRefusedConnection()
+		}
 		return refusal(calls.ReasonUnreachable, err.Error())
 	}
 	return &calls.Result{Outcome: calls.Unknown, Reason: calls.ReasonBroken, Detail: err.Error()}
--- a/internal/gate/inner_load_test.go
+++ b/internal/gate/inner_load_test.go
@@ -89,7 +89,7 @@
 	lastID       int
 }
 
-func replay(load innerLoad, seconds int) innerLoadResult {
+func replayInner(load innerLoad, seconds int) innerLoadResult {
 	r := &loadReplay{innerLoad: load, random: rand.New(rand.NewPCG(1, 2))}
 	r.outer, r.inner = newLoadGates(load.outerGates, load.slots), newLoadGates(load.innerGates, load.slots)
 	count := func() []int { return make([]int, seconds) }
@@ -372,9 +372,9 @@
 func TestFewRunsAreWastedWhileTheInnerServiceIsFull(t *testing.T) {
 	for name, load := range innerLoads {
 		t.Run(name, func(t *testing.T) {
-			before := replay(load, 16)
+			before := replayInner(load, 16)
 			load.aware = true
-			after := replay(load, 16)
+			after := replayInner(load, 16)
 			t.Logf("wasted %.3f, then %.3f; served %.3f, then %.3f; callers of the inner service served %.3f, then %.3f",
 				share(before.wasted, before.runs, 0), share(after.wasted, after.runs, 0), share(before.served, before.offered, 0), share(after.served, after.offered, 0),
 				share(before.localServed, before.localOffered, 0), share(after.localServed, after.localOffered, 0))
@@ -399,7 +399,7 @@
 				}
 				return 1
 			}
-			result := replay(load, 20)
+			result := replayInner(load, 20)
 			require.Greater(t, share(result.served, result.offered, 0), 0.5)
 			require.Greater(t, share(result.served, result.offered, 10), 0.98)
 		})
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -20,6 +20,12 @@
 	// the gates of a service fill up together: a second gate admitted on time only one in a hundred of the calls that the
 	// first had refused on days of high load, and one in ten on other days.
 	maxLateRefusals = 2
+	// maxColdRefusals is the number of refusals by gates of cold backend servers from which each counts like one of a full
+	// backend server. The nodes learn of such a backend server with its first refusal, so most calls meet none.
+	maxColdRefusals = 3
+	// maxSlowRefusals is the number of gates that may pass a call on because their machine is slow at this moment before the
+	// call gives up its objective. With 15% of the machines slow, three questions in a row meet slow ones only once in 300.
+	maxSlowRefusals = 3
 	// lateTimeShare is the share of the time left until the deadline within which a late attempt must be expected to
 	// finish; the length of the route's objective limits it further. A caller that is refused by then can retry within its
 	// own deadline. Longer queues serve no more calls. If backend servers of one service call another service, longer
@@ -55,7 +61,11 @@
 	// late is set once the call makes late attempts; lateRefusals counts their refusals.
 	late         bool
 	lateRefusals int
-	// refusedOnTime is the backend server whose gate refused the attempt on time. It gets a late one if no other is left.
+	// coldRefusals counts the refusals of gates whose backend servers are cold.
+	coldRefusals int
+	// slowRefusals counts the gates that passed the call on because their machine is slow at this moment.
+	slowRefusals int
+	// refusedOnTime is the backend server whose gate last refused an attempt on time. It gets a late one if no other is left.
 	refusedOnTime string
 	// retryAfter is the shortest time after which a gate would admit the call.
 	retryAfter time.Duration
@@ -167,7 +177,12 @@
 		return d.call.Deadline
 	}
 	now := d.ingress.options.Now()
-	return now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
+	by := now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
+	if d.slowRefusals > 0 && by.Before(d.call.Objective) {
+		// A gate passes on only calls that are to finish before their objective.
+		return d.call.Objective
+	}
+	return by
 }
 
 // earlier returns the earlier of two times.
@@ -197,7 +212,8 @@
 	}
 	d.tried[info.Instance] = true
 	d.attempts = append(d.attempts, attempt{info.Instance, result})
-	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull {
+	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull && result.Reason != calls.ReasonCold &&
+		result.Reason != calls.ReasonSlow {
 		d.ingress.options.Logger.Info().Str("request_id", d.call.ID).Str("route", d.call.Route).Str("service", d.service).
 			Str("backend_server", info.Instance).Str("node", info.Node).Uint64("version", d.table.Snapshot.Version).
 			Str("fate", string(result.Outcome)).Str("reason", string(result.Reason)).Str("detail", result.Detail).
@@ -286,6 +302,20 @@
 	case calls.ReasonInnerFull:
 		d.retryAfter = result.RetryAfter
 		return d.finalRefusal()
+	case calls.ReasonCold:
+		// Backend servers become cold together: after some refusals the call is not worth more time.
+		if d.coldRefusals++; d.coldRefusals >= maxColdRefusals {
+			d.countRefusal()
+		}
+		if d.retryAfter == 0 || result.RetryAfter < d.retryAfter {
+			d.retryAfter = result.RetryAfter
+		}
+	case calls.ReasonSlow:
+		d.slowRefusals++
+		if !d.late {
+			d.refusedOnTime = server.Info.Instance
+		}
+		d.late = d.late || d.slowRefusals >= maxSlowRefusals
 	case calls.ReasonShed:
 		if !d.mayRetry() || !d.ingress.retries.takeRetry(d.service, d.ingress.options.Now()) {
 			return d.finalRefusal()
