Avoid backend servers whose gates give no word

Cause: calls that expired or whose caller left counted nothing, so a backend server behind a full link looked idle and got the calls of all nodes, which kept the link full.

Change: a gate that gives no word within the objective counts as unreachable, where admission.inner-calls is on.

--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -47,6 +47,9 @@
 	ReasonShed Reason = "shed"
 	// ReasonBroken means that the exchange ended without a complete response of the backend server.
 	ReasonBroken Reason = "broken"
+	// ReasonSilent means that no word came from the gate within the objective of the call, until the deadline passed or the
+	// caller closed its connection.
+	ReasonSilent Reason = "silent"
 	// ReasonDeadline means that the deadline passed before the response arrived or before the call was sent.
 	ReasonDeadline Reason = "deadline"
 	// ReasonCanceled means that the caller closed its connection.
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -182,7 +181,7 @@
 
 // outerSlots returns the number of slots that inner calls leave to other calls while those wait.
 func (q *Queue) outerSlots() int {
-	return int(math.Ceil(outerShare * float64(q.slots)))
+	return max(int(outerShare*float64(q.slots)), 1)
 }
 
 // Pressure returns the share of the slots that are not available to further runs of the given priority that call this
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -196,7 +196,8 @@
 // send makes one attempt: it sends the call to the gate of a backend server and records the result.
 func (d *dispatch) send(ctx context.Context, server *routing.Server) *calls.Result {
 	info := server.Info
-	server.Stats.Begin(d.ingress.options.Now())
+	began := d.ingress.options.Now()
+	server.Stats.Begin(began)
 	d.call.Repeated = d.sends > 0
 	var result *calls.Result
 	if info.Node == d.ingress.options.Instance {
@@ -204,6 +205,9 @@
 	} else {
 		result = d.ingress.peers.pass(ctx, d.call, info.GateAddr, info.Instance, d.finishBy())
 	}
+	if d.table.CallerLimits.InnerCalls && d.silent(result, began) {
+		result.Reason = calls.ReasonSilent
+	}
 	server.Stats.End(result, d.ingress.options.Now())
 	d.last = result
 	d.recordForBreaker(server, result)
@@ -224,6 +228,13 @@
 	return result
 }
 
+// silent reports whether no word came from the gate for as long as the objective. A gate answers a call that it refuses well
+// within that time, and one that it admits is usually answered within it.
+func (d *dispatch) silent(result *calls.Result, began time.Time) bool {
+	return result.Load == nil && (result.Outcome == calls.Expired || result.Outcome == calls.Canceled) &&
+		d.ingress.options.Now().Sub(began) >= d.route.Settings.Objective
+}
+
 // recordForBreaker records the outcome of a call to the old or the new version of a move, for the circuit breaker that
 // limits this node's calls to the new version. Canceled and refused calls are not recorded, nor runs
 // that failed because an inner call did.
--- a/internal/ingress/inner_call_test.go
+++ b/internal/ingress/inner_call_test.go
@@ -156,3 +156,20 @@
 	require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
 	require.Empty(t, f.sent)
 }
+
+// A gate that gives no word until the deadline, as behind a full link, is avoided where the configuration asks for it. One that
+// says that the call has waited in vain is not.
+func TestGateThatGivesNoWordIsSilent(t *testing.T) {
+	ingress := lateGate(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	table := ingress.options.Table()
+	for _, asked := range []bool{false, true} {
+		table.CallerLimits.InnerCalls = asked
+		route := table.MatchHost("h", "/book/1")
+		objective := time.Now().Add(route.Settings.Objective)
+		c := &calls.Call{Method: "POST", Target: "/book/1", Host: "h", Header: http.Header{}, Objective: objective, Deadline: objective.Add(50 * time.Millisecond)}
+		d := &dispatch{ingress: ingress, table: table, route: route, call: c, service: "rota"}
+		_, refused := d.run(context.Background())
+		require.Equal(t, http.StatusGatewayTimeout, refused.status, "%s", refused.message)
+		require.Equal(t, asked, d.last.Reason == calls.ReasonSilent)
+	}
+}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -139,3 +139,18 @@
 	tell(busy, 1, now)
 	require.Equal(t, 1, Choose([]Candidate{{Stats: busy, Local: true}, {Stats: free}}, objective, noJitter, now.Add(2*time.Second)))
 }
+
+// Load pattern: the link of a node is full, and calls to its gate get no word until their deadline. Other backend servers get
+// the calls, although this one looks idle, and one call at a time probes it.
+func TestSilentGateIsAvoided(t *testing.T) {
+	silent, other := statsOf(20*time.Millisecond, 0), statsOf(60*time.Millisecond, 0)
+	candidates := []Candidate{{Stats: silent, Local: true}, {Stats: other}}
+	require.Equal(t, 0, Choose(candidates, objective, noJitter, now))
+	silent.Begin(now)
+	silent.End(&calls.Result{Outcome: calls.Expired, Reason: calls.ReasonSilent}, now)
+	require.Equal(t, 1, Choose(candidates, objective, noJitter, now))
+	later := now.Add(unreachableBackoff)
+	require.Equal(t, 0, Choose(candidates, objective, noJitter, later))
+	silent.Begin(later)
+	require.Equal(t, 1, Choose(candidates, objective, noJitter, later), "one call probes it")
+}
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -121,6 +121,10 @@
 			s.avoidUntil = now
 		}
 	}
+	if result.Reason == calls.ReasonSilent {
+		s.avoidUnreachable(now)
+		return
+	}
 	switch result.Outcome {
 	case calls.Answered:
 		s.answered(result, now)
@@ -132,6 +136,16 @@
 	}
 }
 
+// avoidUnreachable makes calls avoid the backend server for longer with each call in a row that could not reach its gate or
+// got no word from it.
+//
+// Load pattern: the link of a node is full, so that no answer leaves it in time. Its backend server looks idle, as only
+// calls in flight and reports of load count, and gets the calls of all nodes, which keep the link full.
+func (s *ServerStats) avoidUnreachable(now time.Time) {
+	s.avoidUntil = now.Add(min(unreachableBackoff<<min(s.unreachableInRow, 8), maxUnreachableBackoff))
+	s.unreachableInRow++
+}
+
 func (s *ServerStats) answered(result *calls.Result, now time.Time) {
 	if result.Reason == calls.ReasonInnerFailed {
 		return
@@ -165,8 +179,7 @@
 	case calls.ReasonCold:
 		s.avoidUntil = now.Add(min(max(result.RetryAfter, minColdBackoff), maxColdBackoff))
 	case calls.ReasonUnreachable:
-		s.avoidUntil = now.Add(min(unreachableBackoff<<min(s.unreachableInRow, 8), maxUnreachableBackoff))
-		s.unreachableInRow++
+		s.avoidUnreachable(now)
 	case calls.ReasonShed:
 		s.errorRate += errorWeight * (1 - s.errorRate)
 		s.errorRateAt = now
