--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -16,9 +16,11 @@
 	"samphireflow/internal/gate"
 	"samphireflow/internal/hop"
 	"samphireflow/internal/ingress"
+	"samphireflow/internal/link"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
+	"samphireflow/internal/quota"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/suspect"
 )
@@ -43,6 +45,7 @@
 	ingress  *ingress.Ingress
 	suspects *suspect.Tracker
 	service  *proxy.PeerService
+	quotas   *quota.Keeper
 	stop     *calls.StopAdmission
 }
 
@@ -66,14 +69,16 @@
 		gate: gate.New(gate.Options{
 			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
 			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
-			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Logger: logger, Now: time.Now,
+			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Link: link.New(s.LinkMbps, time.Now), Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
+	g.quotas = newQuotaKeeper(s, n, registry, logger)
 	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "samphireflow_gate_paced_refusals_total",
 		Help: "Calls that the gate refused because the backend server is cold.",
 	}, func() float64 { return float64(g.gate.PacedRefusals()) }))
+	g.gate.RegisterMetrics(registry)
 	g.service = proxy.NewPeerService(n, g.suspects)
 	g.ingress = ingress.New(ingress.Options{
 		Instance:      s.Instance,
@@ -86,6 +91,7 @@
 		Headers:       headers,
 		Suspects:      g.suspects,
 		Admission:     innerCalls,
+		Quotas:        g.quotas,
 		Stop:          stop,
 		Metrics:       ingress.NewMetrics(registry),
 		Logger:        logger,
@@ -110,10 +116,12 @@
 	}
 }
 
-// register mounts the twirp service that other nodes and the platform call.
+// register mounts the twirp services that other nodes and the platform call.
 func (g *gatedTraffic) register(mux *http.ServeMux) {
 	service := apiv1.NewTrafficServer(g.service)
 	mux.Handle(service.PathPrefix(), service)
+	quotas := apiv1.NewQuotasServer(quota.NewService(g.quotas))
+	mux.Handle(quotas.PathPrefix(), quotas)
 }
 
 // serveGatedTraffic serves callers and other nodes until ctx ends, then stops without interrupting calls. At once the node
@@ -138,6 +146,7 @@
 	group.Go(callerListener.serve)
 	group.Go(gateListener.serve)
 	group.Go(func() error { return d.gatedTraffic.suspects.Run(groupCtx) })
+	group.Go(func() error { return d.gatedTraffic.quotas.Run(groupCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/exchange"
+	"samphireflow/internal/link"
 )
 
 const (
@@ -53,8 +54,10 @@
 	Stop *calls.StopAdmission
 	// Admission decides by the room of the services that runs call; nil admits every call.
 	Admission *admission.Controller
-	Logger    zerolog.Logger
-	Now       func() time.Time
+	// Link is the network link of this instance, nil if its capacity is not known.
+	Link   *link.Link
+	Logger zerolog.Logger
+	Now    func() time.Time
 }
 
 // Recorder counts outcomes by service, version and route; *outcome.Aggregator implements it. A broken call is one that
@@ -107,7 +110,7 @@
 }
 
 func (g *Gate) load() calls.Load {
-	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots(), Slowdown: g.queue.slowdown(g.options.Now())}
+	return calls.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.queue.Slots(), Slowdown: g.queue.slowdown(g.options.Now()), LinkWait: g.options.Link.Wait()}
 }
 
 // RepeatedShare returns the share of retries among the latest runs, from 0 to 1.
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -45,6 +45,8 @@
 	Suspects Suspects
 	// Admission learns from the inner calls that arrive at the ingress. It is the one of the gate; nil learns nothing.
 	Admission *admission.Controller
+	// Quotas counts the calls of customers; nil allows all.
+	Quotas Quotas
 	// Stop decides which calls are taken during a planned stop of the node; nil takes all.
 	Stop    *calls.StopAdmission
 	Metrics *Metrics
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -154,3 +154,20 @@
 	silent.Begin(later)
 	require.Equal(t, 1, Choose(candidates, objective, noJitter, later), "one call probes it")
 }
+
+// TestLongResponsesGoToFreeLinks covers an instance whose link is busy for a second: calls with long responses go elsewhere, others
+// do not, as short responses are sent before long ones.
+func TestLongResponsesGoToFreeLinks(t *testing.T) {
+	busy, free := statsOf(60*time.Millisecond, 0), statsOf(60*time.Millisecond, 0)
+	result := refusal(calls.ReasonFull)
+	result.Load = &calls.Load{Slots: 10, LinkWait: time.Second}
+	busy.Begin(now)
+	busy.End(result, now)
+	for _, c := range []struct {
+		long bool
+		want int
+	}{{false, 0}, {true, 1}} {
+		candidates := []Candidate{{Stats: busy, Local: true, LongResponse: c.long}, {Stats: free, LongResponse: c.long}}
+		require.Equal(t, c.want, Choose(candidates, objective, noJitter, now))
+	}
+}
