--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/routing"
 	"samphireflow/internal/suspect"
@@ -42,6 +43,8 @@
 	Retries  RetryLimits
 	Headers  calls.Headers
 	Suspects Suspects
+	// Admission learns from the inner calls that arrive at the ingress. It is the one of the gate; nil learns nothing.
+	Admission *admission.Controller
 	// Quotas counts the calls of customers; nil allows all.
 	Quotas Quotas
 	// Stop decides which calls are taken during a planned stop of the node; nil takes all.
