Do not count a service as overloaded because a link is full

Cause: a refusal for the link was told as a full queue, after which all calls to the service gave up their objective for 300 ms, also those with short responses. Change: a reason of its own.

--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -27,6 +27,8 @@
 	// ReasonSlow means that a slot is free, but the machine is so slow at this moment that the call would miss the time by
 	// which it is to finish.
 	ReasonSlow Reason = "slow"
+	// ReasonLink means that the link of the instance would send the long response too late.
+	ReasonLink Reason = "link"
 	// ReasonDraining means that the backend server is draining.
 	ReasonDraining Reason = "draining"
 	// ReasonCold means that the backend server is cold and has got as many calls in the last second as it can take.
--- a/internal/gate/long_response.go
+++ b/internal/gate/long_response.go
@@ -23,7 +23,7 @@
 	if transfer != nil {
 		return transfer, nil
 	}
-	refused := refusal(calls.ReasonFull, "the response would wait for the link for longer than the call can")
+	refused := refusal(calls.ReasonLink, "the response would wait for the link for longer than the call can")
 	refused.RetryAfter = max(late, minRetryAfter)
 	load := g.Load()
 	refused.Load = &load
--- a/internal/gate/long_response_test.go
+++ b/internal/gate/long_response_test.go
@@ -108,7 +108,7 @@
 	forward(g, recorder, 500*time.Millisecond)
 	result, err := calls.ParseResult(recorder.Header().Get(calls.HopResultHeader))
 	require.NoError(t, err)
-	require.Equal(t, calls.ReasonFull, result.Reason)
+	require.Equal(t, calls.ReasonLink, result.Reason)
 	require.InDelta(t, 528*time.Millisecond, result.Load.LinkWait, float64(2*time.Millisecond))
 	require.Positive(t, result.RetryAfter)
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -19,7 +19,7 @@
 func (list attemptList) refusals() int {
 	count := 0
 	for _, a := range list {
-		if a.result.Outcome == calls.NotRun && (a.result.Reason == calls.ReasonFull || a.result.Reason == calls.ReasonShed) {
+		if a.result.Outcome == calls.NotRun && (a.result.Reason == calls.ReasonFull || a.result.Reason == calls.ReasonLink || a.result.Reason == calls.ReasonShed) {
 			count++
 		}
 	}
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -203,7 +203,7 @@
 	}
 	d.tried[info.Instance] = true
 	d.attempts = append(d.attempts, attempt{info.Instance, result})
-	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull && result.Reason != calls.ReasonCold &&
+	if result.Outcome != calls.Answered && result.Reason != calls.ReasonFull && result.Reason != calls.ReasonLink && result.Reason != calls.ReasonCold &&
 		result.Reason != calls.ReasonSlow {
 		d.ingress.options.Logger.Info().Str("request_id", d.call.ID).Str("route", d.call.Route).Str("service", d.service).
 			Str("backend_server", info.Instance).Str("node", info.Node).Uint64("version", d.table.Snapshot.Version).
@@ -272,10 +272,12 @@
 		return notRun("the call could not be handed to backend server "+server.Info.Instance, minRetryAfter)
 	}
 	switch result.Reason {
-	case calls.ReasonFull:
+	case calls.ReasonFull, calls.ReasonLink:
 		if !d.late {
 			d.refusedOnTime = server.Info.Instance
-			d.ingress.overloads.recordRefusal(d.service, d.ingress.options.Now())
+			if result.Reason == calls.ReasonFull {
+				d.ingress.overloads.recordRefusal(d.service, d.ingress.options.Now())
+			}
 		}
 		d.countRefusal()
 		if d.retryAfter == 0 || result.RetryAfter < d.retryAfter {
--- a/internal/ingress/slow_refusal_test.go
+++ b/internal/ingress/slow_refusal_test.go
@@ -27,6 +27,21 @@
 	require.False(t, f.ingress.overloads.overloaded("rota", time.Now()))
 }
 
+// TestFullLinksDoNotMakeAServiceCountAsOverloaded lets two gates refuse a call for their links: it is made late, as after other
+// refusals, while calls with short responses are still asked for on time.
+func TestFullLinksDoNotMakeAServiceCountAsOverloaded(t *testing.T) {
+	var late []bool
+	f := newFixture(t, func(c *calls.Call, _ string, by time.Time) *calls.Result {
+		if late = append(late, !by.Before(c.Objective)); len(late) < 3 {
+			return &calls.Result{Outcome: calls.NotRun, Reason: calls.ReasonLink, RetryAfter: time.Second}
+		}
+		return answeredResult(http.StatusOK, "")
+	})
+	require.Equal(t, http.StatusOK, f.call("GET", "/lookup/", "").Code)
+	require.Equal(t, []bool{false, true, true}, late)
+	require.False(t, f.ingress.overloads.overloaded("rota", time.Now()))
+}
+
 // TestCallIsServedThoughAllGatesAreSlow covers a moment in which all machines are slow: a call that was passed on by each of
 // them gives up its objective and is served, since slots are free.
 func TestCallIsServedThoughAllGatesAreSlow(t *testing.T) {
