Know the failure domains of a deployment from its settings

Cause: an evacuation of a failure domain that was cut off before the control instances started was refused as a typo, unless a control instance is in it. Measured: internal/control TestUnknownFailureDomainIsRefused fails without it.

--- a/internal/control/evacuations_service_test.go
+++ b/internal/control/evacuations_service_test.go
@@ -184,6 +184,9 @@
 	s.members.Expire(now)
 	require.Equal(t, orderAccepted, orderEvacuation(t, s, "devonport", false).Outcome)
 	require.Equal(t, []string{"devonport"}, evacuated(m))
+
+	configured := New(Options{Instance: "c0", Log: &fakeLog{machine: m}, Machine: m, FailureDomains: []string{"launceston"}, Logger: zerolog.Nop()})
+	require.Equal(t, orderAccepted, orderEvacuation(t, configured, "launceston", false).Outcome, "cut off since before the start of this process")
 }
 
 // TestEvacuationSurvivesDocumentsAndReverts: whole documents and reverts replace settings, not orders.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -42,6 +42,8 @@
 	Machine  *state.Machine
 	// Departures may be nil; what is known of departures then ends with the process.
 	Departures Departures
+	// FailureDomains lists the failure domains that exist whether or not an instance of them was seen.
+	FailureDomains []string
 	// Client sends requests to other processes. If it is nil, the server creates its own clients.
 	Client *http.Client
 	// Direct means that nodes follow the control instances without relays: no relays and no claim holders are assigned.
@@ -96,6 +98,9 @@
 		// Only the monotonic clock counts after the start, so that steps of the wall clock have no effect.
 		now: func() time.Time { return started.Add(time.Since(started)) },
 	}
+	for _, name := range options.FailureDomains {
+		s.domains.add(name)
+	}
 	if options.Departures != nil {
 		members.Remember(options.Departures.Servers(), started)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,12 +133,13 @@
 		logger.Error().Err(err).Msg("the file of departed backend servers is damaged; this instance starts without it")
 	}
 	d.control = control.New(control.Options{
-		Instance:   d.controlID(),
-		Direct:     d.settings.UsesControlSeeds(),
-		Log:        log,
-		Machine:    machine,
-		Departures: departed,
-		Logger:     logger,
+		Instance:       d.controlID(),
+		Direct:         d.settings.UsesControlSeeds(),
+		Log:            log,
+		Machine:        machine,
+		Departures:     departed,
+		FailureDomains: d.settings.FailureDomains,
+		Logger:         logger,
 	})
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,8 @@
 	LinkMbps float64 `validate:"gte=0" flag:"link-mbps"`
 	// MemoryLimitMB is the memory in MB above which the process is killed from outside. Zero means that there is no limit.
 	MemoryLimitMB int `validate:"gte=0" flag:"memory-limit"`
+	// FailureDomains lists the failure domains of the deployment. Others may exist too.
+	FailureDomains []string `validate:"dive,name" flag:"failure-domains"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
 	Seeds []string `validate:"dive,ipport" flag:"seeds"`
 	// Services lists the services that the callers of this node call. An empty list means all services.
@@ -115,6 +117,7 @@
 	s.Seeds = parseList(*lists.seeds)
 	s.ControlSeeds = parseList(*lists.controlSeeds)
 	s.Services = parseList(*lists.services)
+	s.FailureDomains = parseList(*lists.failureDomains)
 	s.PartitionedAddrs = parseList(*lists.partitionedAddrs)
 	return s, s.validate(faults)
 }
@@ -126,6 +129,7 @@
 	seeds            *string
 	controlSeeds     *string
 	services         *string
+	failureDomains   *string
 	partitionedAddrs *string
 }
 
@@ -166,6 +170,7 @@
 		seeds:            flags.String("seeds", "", "control addresses, IP:port, of some nodes of the own failure domain, separated by commas (node)"),
 		controlSeeds:     flags.String("control-seeds", "", "control addresses, IP:port, of some control instances, separated by commas"),
 		services:         flags.String("services", "", "services that the callers of this node call, separated by commas; empty for all (node)"),
+		failureDomains:   flags.String("failure-domains", "", "failure domains of the deployment, separated by commas; others are known once an instance was seen (control)"),
 		partitionedAddrs: flags.String("fault-injection-cuts", "", "addresses, IP:port, that the process is cut off from at its start, separated by commas"),
 	}
 }
