--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,11 +6,13 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"samphireflow/internal/calls"
 	"samphireflow/internal/customer"
 	"samphireflow/internal/move/local"
+	"samphireflow/internal/resources"
 	"samphireflow/internal/routing"
 )
 
@@ -55,8 +57,14 @@
 		i.refuse(w, r, &dispatch{table: table, call: c, service: route.Config.Service}, notRun("this node stops before the call must end", minRetryAfter))
 		return
 	}
+	counted, refused := i.takeQuota(r.Context(), caller)
+	if refused != nil {
+		i.refuse(w, r, &dispatch{table: table, call: c, service: route.Config.Service}, refused)
+		return
+	}
 	d := &dispatch{ingress: i, table: table, route: route, call: c, arrived: arrived, service: pickService(route, i.options.Random)}
 	response, refused := d.run(r.Context())
+	i.returnQuota(d, counted)
 	i.options.Metrics.observe(d, refused, i.options.Now().Sub(arrived))
 	if r.Context().Err() != nil && response == nil {
 		// The caller has closed its connection. Aborting the handler closes this side too, so that whoever still reads
@@ -119,6 +127,9 @@
 		timeout = min(timeout, time.Duration(ms*float64(time.Millisecond)))
 	}
 	body, err := calls.ReadBody(r)
+	if errors.Is(err, resources.ErrNoMemory) {
+		return nil, notRun(err.Error(), minRetryAfter)
+	}
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, message: "the body cannot be read"}
 	}
