Take an invalid status line for no answer

Cause: the reader of responses took each status under 200 for an interim one and read on, and passed on statuses above 599 and responses of other versions; the proxy passed on what net/http gave it.

A status line that RFC 9110, section 15, or RFC 9112, section 4, does not allow, and a 101 that nobody asked for, now break the exchange on both call paths: the connection is closed, the caller is told 502 as the call may have run, and a call that may be repeated goes to another backend server.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -126,6 +126,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := CheckStatusLine(response); err != nil {
+			return nil, err
+		}
 		c.limit.remaining = unlimited
 		if c.codec != nil {
 			if err := c.codec.decode(response); err != nil {
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -128,6 +128,8 @@
 type rawServer struct {
 	addr     string
 	requests atomic.Int64
+	// conns is the number of connections that were accepted.
+	conns atomic.Int64
 }
 
 // script returns the bytes of the response to a request, which may be none, and whether the connection is then closed. The
@@ -154,6 +156,7 @@
 			if err != nil {
 				return
 			}
+			s.conns.Add(1)
 			mu.Lock()
 			open = append(open, c)
 			mu.Unlock()
--- a/internal/proxy/sender.go
+++ b/internal/proxy/sender.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireflow/internal/exchange"
 )
 
 // addedHeaders is the maximum number of headers that a node adds to a request.
@@ -76,6 +78,14 @@
 		}
 		return nil, errors.Wrap(err, "round trip")
 	}
+	if err := exchange.CheckStatusLine(response); err != nil {
+		_ = response.Body.Close()
+		if tracker.conn != nil {
+			// Nothing that follows on the connection can be trusted.
+			_ = tracker.conn.Close()
+		}
+		return nil, err
+	}
 	c.memory.release()
 	c.memory = &reservation{memory: &s.memory}
 	got, err := readResponse(request, response, c.memory)
