--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -13,10 +13,10 @@
 
 	// readBuffer is the size of the kernel's receive buffer of a connection, in bytes, and longBodyBuffer that of one with a
 	// long body, which would be slow otherwise over a link of long delay. What waits there counts to the instance's memory.
-	readBuffer     = 16 << 10
+	readBuffer     = 8 << 10
 	longBodyBuffer = 64 << 10
 	// longBody is the length of a body from which it counts as long.
-	longBody = 64 << 10
+	longBody = 32 << 10
 
 	// progressBytes is the number of bytes that a client must send or receive for its connection to count as making progress.
 	// Each completed request counts as well.
