--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -174,10 +174,6 @@
 		margin := time.Duration(objectiveMargin * float64(d.route.Settings.Objective))
 		return earlier(d.call.Objective.Add(-margin), d.call.Deadline)
 	}
-	if d.call.Inner {
-		// Its run waits for it, and is lost without it.
-		return d.call.Deadline
-	}
 	now := d.ingress.options.Now()
 	by := now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
 	if d.slowRefusals > 0 && by.Before(d.call.Objective) {
@@ -230,11 +226,11 @@
 	return result
 }
 
-// silent reports whether no word came from the gate for as long as the objective. A gate answers a call that it refuses well
-// within that time, and one that it admits is usually answered within it.
+// silent reports whether no word came from the gate for as long as the objective, although it was due: at the deadline, or when
+// a run gave up its inner call. A caller that leaves earlier says nothing, since the call may run.
 func (d *dispatch) silent(result *calls.Result, began time.Time) bool {
-	return result.Load == nil && (result.Outcome == calls.Expired || result.Outcome == calls.Canceled) &&
-		d.ingress.options.Now().Sub(began) >= d.route.Settings.Objective
+	due := result.Outcome == calls.Expired || result.Outcome == calls.Canceled && d.call.Inner
+	return due && result.Load == nil && d.ingress.options.Now().Sub(began) >= d.route.Settings.Objective
 }
 
 // recordForBreaker records the outcome of a call to the old or the new version of a move, for the circuit breaker that
