--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -7,14 +7,14 @@
 
 const (
 	// targetPressure is the share of the slots of a service that inner calls occupy or wait for, with the calls that keep their
-	// part of the slots beside them. With a share of 1 backend servers are idle by turns, as the calls do not come evenly;
-	// with this one an inner call waits for about a quarter of its latency, and most find room at the first gate.
-	targetPressure = 1.25
+	// part of the slots beside them. Calls go to the near backend servers first, and to others only when those have long
+	// queues, so with a share of 1 the far ones would be idle. With this one an inner call waits for about its own latency.
+	targetPressure = 2.0
 	// maxPressure is the pressure that counts for an inner call that got no slot, and the highest that counts.
 	maxPressure = 4.0
-	// pressureWeight is the weight of the latest report in the mean of the pressure: a node makes some tens of inner calls a
-	// second, and a limit must follow within some of them.
-	pressureWeight = 0.5
+	// pressureWeight is the weight of the latest report in the mean of the pressure. A node makes some tens of inner calls a
+	// second, and each gate reports for itself.
+	pressureWeight = 0.3
 	// pressureHalfLife is the age at which the mean counts half. Without newer reports the service counts as free after some
 	// seconds, so a limit does not outlast the inner calls that it is learned from.
 	pressureHalfLife = 500 * time.Millisecond
--- a/internal/gate/inner_load_test.go
+++ b/internal/gate/inner_load_test.go
@@ -211,7 +211,10 @@
 // entry returns a call as a gate sees it, for one of the attempts of an ingress.
 func (r *loadReplay) entry(route string, start, objective, deadline time.Duration, inner bool, try int) *Entry {
 	finishBy := start + objective*3/4
-	if try > 0 {
+	switch {
+	case try > 0 && inner:
+		finishBy = start + deadline
+	case try > 0:
 		finishBy = r.now + min(objective, (start+deadline-r.now)/2)
 	}
 	return &Entry{Route: route, Priority: 2, Inner: inner, Objective: r.time(start + objective), Deadline: r.time(start + deadline), FinishBy: r.time(finishBy)}
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -174,6 +174,10 @@
 		margin := time.Duration(objectiveMargin * float64(d.route.Settings.Objective))
 		return earlier(d.call.Objective.Add(-margin), d.call.Deadline)
 	}
+	if d.call.Inner {
+		// Its run waits for it, and is lost without it.
+		return d.call.Deadline
+	}
 	now := d.ingress.options.Now()
 	by := now.Add(min(d.route.Settings.Objective, time.Duration(lateTimeShare*float64(d.call.Deadline.Sub(now)))))
 	if d.slowRefusals > 0 && by.Before(d.call.Objective) {
--- a/internal/ingress/inner_call_test.go
+++ b/internal/ingress/inner_call_test.go
@@ -34,7 +34,7 @@
 
 func TestInnerCallsInheritThePriorityOfTheirRun(t *testing.T) {
 	var got calls.Call
-	f := newFixture(t, func(c *calls.Call, _ string, _ time.Time) *calls.Result {
+	f := newFixture(t, func(c *calls.Call, _ string, finishBy time.Time) *calls.Result {
 		got = *c
 		return answeredResult(200, "")
 	})
@@ -51,13 +51,18 @@
 	require.False(t, got.Inner, "the run has ended")
 }
 
-func TestRunLosesARefusedInnerCall(t *testing.T) {
-	f := newFixture(t, func(*calls.Call, string, time.Time) *calls.Result {
+// An inner call waits until its deadline rather than being refused, because the run is lost without it.
+func TestInnerCallsWaitUntilTheirDeadline(t *testing.T) {
+	var finishBy []time.Duration
+	f := newFixture(t, func(c *calls.Call, _ string, by time.Time) *calls.Result {
+		finishBy = append(finishBy, by.Sub(c.Deadline))
 		return &calls.Result{Outcome: calls.NotRun, Reason: calls.ReasonFull}
 	})
 	controller := newTestController()
 	run := withInnerCalls(f, controller)
 	require.Equal(t, http.StatusServiceUnavailable, f.call("GET", "/lookup/1", "").Code)
+	require.Greater(t, len(finishBy), 1)
+	require.Zero(t, finishBy[len(finishBy)-1])
 	require.True(t, controller.LostInner(run))
 }
 
