--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/gate"
 	"samphireflow/internal/hop"
@@ -57,12 +58,19 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
 	stop := &calls.StopAdmission{}
+	innerCalls := admission.NewController(admission.Options{
+		IDSeparator: headers.IDSeparator, Metrics: admission.NewMetrics(registry),
+		LimitChanged: func(service string, limited bool, pressure, committed float64) {
+			logger.Info().Str("service", service).Bool("limited", limited).Float64("pressure", pressure).
+				Float64("expected_inner_calls", committed).Msg("calls are admitted by the room of a service that their runs call")
+		},
+	})
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
 			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
 			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
-			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Link: link.New(s.LinkMbps, time.Now), Logger: logger, Now: time.Now,
+			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Link: link.New(s.LinkMbps, time.Now), Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
@@ -83,6 +91,7 @@
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
 		Suspects:      g.suspects,
+		Admission:     innerCalls,
 		Quotas:        g.quotas,
 		Stop:          stop,
 		Metrics:       ingress.NewMetrics(registry),
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -8,6 +8,8 @@
 	Route string
 	// Customer is the name of the customer that sent the call, empty if there is none.
 	Customer string
+	// Inner is set for a call of a run in flight; it goes before the calls of callers.
+	Inner bool
 	// Weight is the weight of the customer when there is no room for the calls of all customers, 0 for the mean weight.
 	Weight float64
 	// Priority is the priority of the call; 0 is the highest.
