--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -215,13 +215,15 @@
 		answered := k.options.Now()
 		until := now.Add(k.options.Terms.LeaseTime())
 		if r != nil {
-			r.granted, r.until, r.retryAfter, r.err = min(grant.Tokens, r.waiting), until, grant.RetryAfter, err
-			if err == nil && r.granted < r.waiting {
-				s.elsewhereAfter = answered.Add(elsewherePause)
-				s.refuse(max(grant.RetryAfter, minRetryAfter), answered)
-			}
+			r.granted, r.until, r.retryAfter, r.err = min(grant.Tokens, r.waiting), until, max(grant.RetryAfter, refusalTime), err
 			close(r.done)
 		}
+		if err == nil && grant.RetryAfter > 0 {
+			s.refuse(grant.RetryAfter, answered)
+		}
+		if err == nil && grant.Tokens < want.Waiting {
+			s.elsewhereAfter = answered.Add(elsewherePause)
+		}
 		s.add(grant.Tokens-want.Waiting, until, answered)
 		s.asking = s.next != nil
 		again := s.asking
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -35,7 +35,7 @@
 // Grant is the answer to a want.
 type Grant struct {
 	Tokens int
-	// RetryAfter is the time until the owner has a token again, set if fewer tokens than waiting calls were granted.
+	// RetryAfter is the time until the owner has a token again, set if it has none left.
 	RetryAfter time.Duration
 }
 
@@ -99,7 +99,11 @@
 	if granted < want.Waiting {
 		return Grant{Tokens: granted, RetryAfter: max(b.nextToken(s.weight), minRetryAfter)}
 	}
-	return Grant{Tokens: granted + b.take(min(want.Ahead, int(aheadShare*b.tokens)))}
+	grant := Grant{Tokens: granted + b.take(min(want.Ahead, int(aheadShare*b.tokens)))}
+	if b.tokens < 1 {
+		grant.RetryAfter = max(b.nextToken(s.weight), minRetryAfter)
+	}
+	return grant
 }
 
 // Give removes up to want tokens for the owner in another failure domain and returns their number.
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -5,10 +5,12 @@
 	"time"
 )
 
-// stockTime is the time for whose expected calls a node keeps tokens, refusalTime the time for which it refuses calls by the
-// last answer of the owner before it asks again.
 const (
-	stockTime   = 200 * time.Millisecond
+	// stockTime is the time for whose expected calls a node keeps tokens.
+	stockTime = 200 * time.Millisecond
+	// refusalTime is the time for which a node does not ask an owner that has no token left. Load pattern: a customer at several
+	// times its quota. If each node asked for each call, the owner would spend its processor time on refusals; so the tokens
+	// collect meanwhile, and the next answer gives several.
 	refusalTime = 150 * time.Millisecond
 )
 
@@ -71,8 +73,8 @@
 	return max(int(s.demand.perSecond(now)*stockTime.Seconds())-s.size(now), 0)
 }
 
-// refuse records that the owner has no token.
+// refuse records that the owner has no token left.
 func (s *stock) refuse(retryAfter time.Duration, now time.Time) {
-	s.refusedUntil = now.Add(min(retryAfter, refusalTime))
-	s.retryAt = now.Add(retryAfter)
+	s.refusedUntil = now.Add(refusalTime)
+	s.retryAt = now.Add(max(retryAfter, refusalTime))
 }
