Quotas: nodes do not ask ahead while the owner has no tokens

Each node now pauses, and asks for 300 ms of its demand. TestOwnerOfAHotCustomerIsNotAskedForEachCall.

--- a/internal/daemon/quota_keeper.go
+++ b/internal/daemon/quota_keeper.go
@@ -25,6 +25,7 @@
 		DialContext:         netfault.Dialer(peerDialTimeout),
 		MaxIdleConnsPerHost: quotaConnections,
 		IdleConnTimeout:     peerIdleTimeout,
+		DisableCompression:  true,
 	}}
 	return quota.NewKeeper(quota.Options{
 		Addr:          s.ControlAddr,
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -38,8 +38,10 @@
 	unknown          int
 	// cross counts the messages between failure domains, messages all of them.
 	cross, messages int
-	epochs          uint64
-	closed          bool
+	// asked counts the messages to each node.
+	asked  map[string]int
+	epochs uint64
+	closed bool
 }
 
 // member is a node of a fleet.
@@ -58,7 +60,7 @@
 	f := &fleet{
 		terms:  Terms{Window: 5 * time.Second, Overrun: 0.1, Slack: slack},
 		random: rand.New(rand.NewPCG(seed, 1)), customers: map[string]*customer.Customer{}, cutDomains: map[string]bool{},
-		offered: map[string][]time.Time{}, allowed: map[string][]time.Time{},
+		offered: map[string][]time.Time{}, allowed: map[string][]time.Time{}, asked: map[string]int{},
 	}
 	f.setCustomers(customers...)
 	for _, domain := range []string{"a", "b", "c"} {
@@ -225,6 +227,7 @@
 		f.cross++
 	}
 	f.messages++
+	f.asked[addr]++
 	latency += time.Duration(f.random.Int64N(int64(f.delay) + 1))
 	frozen := time.Until(to.frozenUntil)
 	f.mu.Unlock()
@@ -420,3 +423,10 @@
 	addr := owner(f.members[0].known, ShardOf(name), func(n routing.Node) bool { return n.FailureDomain == domain })
 	return f.members[slices.IndexFunc(f.members, func(m *member) bool { return m.addr == addr })]
 }
+
+// askedOf returns the number of messages that a node got.
+func (f *fleet) askedOf(addr string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked[addr]
+}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -119,7 +119,7 @@
 	s := k.stock(c.Name)
 	s.demand.add(1, now)
 	if until, ok := s.take(now); ok {
-		if s.size(now) == 0 && s.ahead(now) > 0 && !s.asking {
+		if s.size(now) == 0 && s.ahead(now) > 0 && !s.asking && !now.Before(s.refusedUntil) {
 			s.asking = true
 			go k.ask(c, s)
 		}
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -170,3 +170,24 @@
 		require.GreaterOrEqual(t, float64(allowed), 0.95*60*12)
 	})
 }
+
+// Load pattern: one customer sends nine times its usual demand, more than five times what it may. Its owners, which are ordinary
+// nodes with thin links, are asked a few times a second by each node and not for each call.
+func TestOwnerOfAHotCustomerIsNotAskedForEachCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hot := &customer.Customer{Name: "c0", Rate: 960, Burst: 960}
+		f := newFleet(t, 31, 20, []*customer.Customer{hot}, 8)
+		time.Sleep(settleTime)
+		addr := f.ownerOf(hot.Name, "b").addr
+		const seconds = 8
+		before := f.askedOf(addr)
+		f.play(seconds*time.Second, source{hot.Name, steadily(9 * 600), f.anywhere})
+		// A question of each node after each pause, and the loans of another shard or two that the owner may have.
+		perNode := 1/refusalTime.Seconds() + 2/loanRefresh.Seconds()
+		// Until the bucket is empty, nodes ask for what they keep.
+		atFirst := hot.Burst
+		t.Logf("asked %d times", f.askedOf(addr)-before)
+		require.LessOrEqual(t, float64(f.askedOf(addr)-before), 31*perNode*seconds+atFirst)
+		requireServed(t, f, 0.95)
+	})
+}
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -7,7 +7,7 @@
 
 const (
 	// stockTime is the time for whose expected calls a node keeps tokens.
-	stockTime = 200 * time.Millisecond
+	stockTime = 300 * time.Millisecond
 	// refusalTime is the time for which a node does not ask an owner that has no token left. Load pattern: a customer at several
 	// times its quota. If each node asked for each call, the owner would spend its processor time on refusals; so the tokens
 	// collect meanwhile, and the next answer gives several.
