--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -13,6 +13,9 @@
 	transferShare = 0.5
 	// pullTime is the time for which the tokens of an owner should last; below, it asks other owners for more.
 	pullTime = 500 * time.Millisecond
+	// lowTime is the time for which the tokens of an owner should last by the rate; below, nodes are told to pause, so that few
+	// questions are asked for the last tokens.
+	lowTime = 100 * time.Millisecond
 	// minPullTokens is the number of tokens below which an owner asks other owners, whatever the demand is.
 	minPullTokens = 2
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked to retry.
@@ -35,7 +38,7 @@
 // Grant is the answer to a want.
 type Grant struct {
 	Tokens int
-	// RetryAfter is the time until the owner has a token again, set if it has none left.
+	// RetryAfter is the time until the owner has a token again, set if it has few or none left.
 	RetryAfter time.Duration
 }
 
@@ -100,7 +103,7 @@
 		return Grant{Tokens: granted, RetryAfter: max(b.nextToken(s.weight), minRetryAfter)}
 	}
 	grant := Grant{Tokens: granted + b.take(min(want.Ahead, int(aheadShare*b.tokens)))}
-	if b.tokens < 1 {
+	if b.tokens < max(b.allowance.rate*s.weight*lowTime.Seconds(), 1) {
 		grant.RetryAfter = max(b.nextToken(s.weight), minRetryAfter)
 	}
 	return grant
