--- a/internal/calls/headers.go
+++ b/internal/calls/headers.go
@@ -10,6 +10,9 @@
 type Headers struct {
 	// RequestID is the ID of an attempt; backend servers repeat it in the response.
 	RequestID string
+	// IDSeparator follows the request ID of a run at the beginning of the request IDs of the calls that the run makes. It is
+	// empty if request IDs do not tell which run makes a call.
+	IDSeparator string
 	// DeadlineMs is the time in milliseconds for which the caller waits for the response.
 	DeadlineMs string
 	// Caller is the service of the caller.
@@ -39,6 +42,7 @@
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID:    "Samphireflow-Request-Id",
+		IDSeparator:  ".",
 		DeadlineMs:   "Samphireflow-Deadline-Ms",
 		Caller:       "Samphireflow-Caller",
 		TargetServer: "Samphireflow-Target",
@@ -57,6 +61,8 @@
 	HopCallHeader   = "Sf-Call"
 	HopTimesHeader  = "Sf-Times"
 	HopResultHeader = "Sf-Result"
+	// HopLongHeader is set in calls with a long response only.
+	HopLongHeader = "Sf-Long"
 )
 
 // hopByHop lists the header fields that apply to a single connection (RFC 9110, section 7.6.1).
@@ -79,7 +85,7 @@
 	listed := connectionHeaders(header)
 	forwarded := make(http.Header, len(header))
 	for name, values := range header {
-		if hopByHop[name] || listed[name] || name == HopCallHeader || name == HopTimesHeader || name == HopResultHeader {
+		if hopByHop[name] || listed[name] || name == HopCallHeader || name == HopTimesHeader || name == HopResultHeader || name == HopLongHeader {
 			continue
 		}
 		forwarded[name] = values
--- a/internal/calls/hop_metadata_test.go
+++ b/internal/calls/hop_metadata_test.go
@@ -24,10 +24,13 @@
 			Priority:   rapid.Int().Draw(t, "priority"),
 			Idempotent: rapid.Bool().Draw(t, "idempotent"),
 			Repeated:   rapid.Bool().Draw(t, "repeated"),
+			Inner:      rapid.Bool().Draw(t, "inner"),
 			Customer:   rapid.String().Draw(t, "customer"),
 			Objective:  duration("objective"),
 			Deadline:   duration("deadline"),
 			FinishBy:   duration("finish by"),
+
+			LongResponse: rapid.Bool().Draw(t, "long response"),
 		}
 		header := http.Header{}
 		sent.Write(header)
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -11,14 +11,17 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/gate"
 	"samphireflow/internal/hop"
 	"samphireflow/internal/ingress"
+	"samphireflow/internal/link"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
 	"samphireflow/internal/proxy"
 	"samphireflow/internal/quota"
+	"samphireflow/internal/resources"
 	"samphireflow/internal/settings"
 	"samphireflow/internal/suspect"
 )
@@ -55,12 +58,19 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
 	stop := &calls.StopAdmission{}
+	innerCalls := admission.NewController(admission.Options{
+		IDSeparator: headers.IDSeparator, Metrics: admission.NewMetrics(registry),
+		LimitChanged: func(service string, limited bool, pressure, committed float64) {
+			logger.Info().Str("service", service).Bool("limited", limited).Float64("pressure", pressure).
+				Float64("expected_inner_calls", committed).Msg("calls are admitted by the room of a service that their runs call")
+		},
+	})
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
 			LocalServer: n.LocalServer, ColdUntil: n.ColdUntil, Terms: func(server *apiv1.BackendServer) gate.Terms { return gateTerms(n.Table(), server) },
 			ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
-			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Logger: logger, Now: time.Now,
+			Headers: headers, CustomerWeight: customerWeight(n), Recorder: n.Recorder(), Stop: stop, Admission: innerCalls, Link: link.New(s.LinkMbps, time.Now), Logger: logger, Now: time.Now,
 		}),
 		suspects: newSuspectTracker(s, n, client, logger),
 	}
@@ -69,6 +79,7 @@
 		Name: "samphireflow_gate_paced_refusals_total",
 		Help: "Calls that the gate refused because the backend server is cold.",
 	}, func() float64 { return float64(g.gate.PacedRefusals()) }))
+	g.gate.RegisterMetrics(registry)
 	g.service = proxy.NewPeerService(n, g.suspects)
 	g.ingress = ingress.New(ingress.Options{
 		Instance:      s.Instance,
@@ -80,6 +91,7 @@
 		Retries:       ingress.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Headers:       headers,
 		Suspects:      g.suspects,
+		Admission:     innerCalls,
 		Quotas:        g.quotas,
 		Stop:          stop,
 		Metrics:       ingress.NewMetrics(registry),
@@ -122,13 +134,16 @@
 	if err != nil {
 		return err
 	}
-	gateListener, err := newListeningServer("gate", d.settings.GateAddr, &http.Server{
+	callerListener.kept = d.connections.Listener(callerListener.listener, resources.Callers)
+	gateServer := &http.Server{
 		Handler: hop.Handler(d.gatedTraffic.gate, d.logger), ConnContext: hop.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}
+	gateListener, err := newListeningServer("gate", d.settings.GateAddr, gateServer)
 	if err != nil {
 		return err
 	}
+	gateListener.kept = d.connections.Serve(gateServer, gateListener.listener, resources.Gate)
 	serving, cancel := context.WithCancel(context.WithoutCancel(running))
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(serving)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,11 +6,13 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"samphireflow/internal/calls"
 	"samphireflow/internal/customer"
 	"samphireflow/internal/move/local"
+	"samphireflow/internal/resources"
 	"samphireflow/internal/routing"
 )
 
@@ -61,7 +63,7 @@
 		return
 	}
 	d := &dispatch{ingress: i, table: table, route: route, call: c, arrived: arrived, service: pickService(route, i.options.Random)}
-	response, refused := d.run(r.Context())
+	response, refused := i.runCall(r.Context(), d)
 	i.returnQuota(d, counted)
 	i.options.Metrics.observe(d, refused, i.options.Now().Sub(arrived))
 	if r.Context().Err() != nil && response == nil {
@@ -125,6 +127,9 @@
 		timeout = min(timeout, time.Duration(ms*float64(time.Millisecond)))
 	}
 	body, err := calls.ReadBody(r)
+	if errors.Is(err, resources.ErrNoMemory) {
+		return nil, notRun(err.Error(), minRetryAfter)
+	}
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, message: "the body cannot be read"}
 	}
@@ -144,6 +149,8 @@
 		Priority:   route.Settings.Priority,
 		Objective:  arrived.Add(route.Settings.Objective),
 		Deadline:   arrived.Add(timeout),
+
+		LongResponse: route.Settings.LongResponses,
 	}
 	if caller != nil {
 		c.Customer = caller.Name
@@ -155,12 +162,13 @@
 	return c, nil
 }
 
-// headerBytes returns the approximate length of the request line and the header fields of a request.
+// headerBytes returns the length of the request line and the header fields of a request, if there are no optional spaces: a
+// request within the limit is never refused.
 func headerBytes(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI)
 	for name, values := range r.Header {
 		for _, value := range values {
-			size += len(name) + len(value) + 4
+			size += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return size
--- a/internal/ingress/peer_gates.go
+++ b/internal/ingress/peer_gates.go
@@ -47,10 +47,13 @@
 		Priority:   c.Priority,
 		Idempotent: c.Idempotent,
 		Repeated:   c.Repeated,
+		Inner:      c.Inner,
 		Customer:   c.Customer,
 		Objective:  c.Objective.Sub(now),
 		Deadline:   c.Deadline.Sub(now),
 		FinishBy:   finishBy.Sub(now),
+
+		LongResponse: c.LongResponse,
 	}.Write(header)
 	return c.Request(header, p.headers.RequestID)
 }
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -55,6 +55,8 @@
 	reportedAt time.Time
 	// meanOtherCalls is the moving average of otherCalls over the reports of a backend server that tells its slowdown.
 	meanOtherCalls float64
+	// linkWait is the time that the gate reported at reportedAt for the link of its instance.
+	linkWait time.Duration
 	// meanLatency is the moving average of the latency of calls without an error, 0 before the first; meanLatencyAt is
 	// the time of its last update.
 	meanLatency   time.Duration
@@ -112,6 +114,7 @@
 	if result.Load != nil {
 		s.otherCalls = max(result.Load.Running+result.Load.Waiting-s.ownCalls, 0)
 		s.reportedAt = now
+		s.linkWait = result.Load.LinkWait
 		s.word.Hear(result.Load.Slowdown, now)
 		if s.word.Told() {
 			s.meanOtherCalls += otherCallsWeight * (float64(s.otherCalls) - s.meanOtherCalls)
@@ -121,6 +124,10 @@
 			s.avoidUntil = now
 		}
 	}
+	if result.Reason == calls.ReasonSilent {
+		s.avoidUnreachable(now)
+		return
+	}
 	switch result.Outcome {
 	case calls.Answered:
 		s.answered(result, now)
@@ -132,7 +139,20 @@
 	}
 }
 
+// avoidUnreachable makes calls avoid the backend server for longer with each call in a row that could not reach its gate or
+// got no word from it.
+//
+// Load pattern: the link of a node is full, so that no answer leaves it in time. Its backend server looks idle, as only
+// calls in flight and reports of load count, and gets the calls of all nodes, which keep the link full.
+func (s *ServerStats) avoidUnreachable(now time.Time) {
+	s.avoidUntil = now.Add(min(unreachableBackoff<<min(s.unreachableInRow, 8), maxUnreachableBackoff))
+	s.unreachableInRow++
+}
+
 func (s *ServerStats) answered(result *calls.Result, now time.Time) {
+	if result.Reason == calls.ReasonInnerFailed {
+		return
+	}
 	if result.Response.Status >= 500 {
 		s.errorRate += errorWeight * (1 - s.errorRate)
 		s.errorRateAt = now
@@ -162,8 +182,7 @@
 	case calls.ReasonCold:
 		s.avoidUntil = now.Add(min(max(result.RetryAfter, minColdBackoff), maxColdBackoff))
 	case calls.ReasonUnreachable:
-		s.avoidUntil = now.Add(min(unreachableBackoff<<min(s.unreachableInRow, 8), maxUnreachableBackoff))
-		s.unreachableInRow++
+		s.avoidUnreachable(now)
 	case calls.ReasonShed:
 		s.errorRate += errorWeight * (1 - s.errorRate)
 		s.errorRateAt = now
@@ -180,6 +199,8 @@
 	// the one to be expected now, 1 if none is told.
 	meanLatency time.Duration
 	slowdown    float64
+	// linkWait is the time that the link of the instance takes for the long responses that are promised, in nanoseconds.
+	linkWait float64
 	// meanLatencyAge is the time since the last update of meanLatency.
 	meanLatencyAge time.Duration
 	errorRate      float64
@@ -202,6 +223,7 @@
 		snap.paced = s.coldRate > 0
 	}
 	snap.occupied += s.meanOtherCalls + (float64(s.otherCalls)-s.meanOtherCalls)*decay(now.Sub(s.reportedAt), reportHalfLife)
+	snap.linkWait = float64(s.linkWait) * decay(now.Sub(s.reportedAt), reportHalfLife)
 	snap.meanLatencyAge = now.Sub(s.meanLatencyAt)
 	snap.errorRate = s.errorRate * decay(now.Sub(s.errorRateAt), statsHalfLife)
 	return snap
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,10 @@
 	LinkMbps float64 `validate:"gte=0" flag:"link-mbps"`
 	// MemoryLimitMB is the memory in MB above which the process is killed from outside. Zero means that there is no limit.
 	MemoryLimitMB int `validate:"gte=0" flag:"memory-limit"`
+	// FailureDomains lists the failure domains of the deployment. Others may exist too.
+	FailureDomains []string `validate:"dive,name" flag:"failure-domains"`
+	// MaxDescriptors is the number of descriptors that the process may have open. Zero selects the limit of the system.
+	MaxDescriptors int `validate:"gte=0" flag:"max-descriptors"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
 	Seeds []string `validate:"dive,ipport" flag:"seeds"`
 	// Services lists the services that the callers of this node call. An empty list means all services.
@@ -115,6 +119,7 @@
 	s.Seeds = parseList(*lists.seeds)
 	s.ControlSeeds = parseList(*lists.controlSeeds)
 	s.Services = parseList(*lists.services)
+	s.FailureDomains = parseList(*lists.failureDomains)
 	s.PartitionedAddrs = parseList(*lists.partitionedAddrs)
 	return s, s.validate(faults)
 }
@@ -126,6 +131,7 @@
 	seeds            *string
 	controlSeeds     *string
 	services         *string
+	failureDomains   *string
 	partitionedAddrs *string
 }
 
@@ -160,12 +166,14 @@
 	flags.Float64Var(&s.RetryRatio, "retry-ratio", 0, "ratio of retries to the calls of a service, over all nodes with a gate, 0 to 1; 0 for the default (node)")
 	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
 	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the process is killed from outside; 0 for none")
+	flags.IntVar(&s.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may have open; 0 for the limit of the system")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return listFlags{
 		peers:            flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
 		seeds:            flags.String("seeds", "", "control addresses, IP:port, of some nodes of the own failure domain, separated by commas (node)"),
 		controlSeeds:     flags.String("control-seeds", "", "control addresses, IP:port, of some control instances, separated by commas"),
 		services:         flags.String("services", "", "services that the callers of this node call, separated by commas; empty for all (node)"),
+		failureDomains:   flags.String("failure-domains", "", "failure domains of the deployment, separated by commas; others are known once an instance was seen (control)"),
 		partitionedAddrs: flags.String("fault-injection-cuts", "", "addresses, IP:port, that the process is cut off from at its start, separated by commas"),
 	}
 }
