Quotas: a node that nobody answers asks again, and an owner elsewhere without tokens is believed

And while the own owner was silent and another had no token, calls got 503 in place of 429. Change: the owner is asked all the same if no other is left; messages may take 150 ms; silent nodes are asked again after 1 s.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// askTimeout bounds a message to another node. Usually the answer takes less than a millisecond.
-	askTimeout = 100 * time.Millisecond
+	// askTimeout bounds a message to another node. Usually the answer takes less than a millisecond, but it waits behind calls on
+	// a link that is full.
+	askTimeout = 150 * time.Millisecond
 	// unknownRetryAfter is the time after which a caller may retry if no owner could be asked.
 	unknownRetryAfter = 250 * time.Millisecond
 	// elsewherePause is the time for which a node does not ask owners in other failure domains after a refusal.
@@ -255,10 +256,18 @@
 			}
 		}
 	}
-	if other := k.otherOwner(want.Customer, now); other != "" {
+	other, pause := k.otherOwner(want.Customer, now)
+	if silent && other == "" {
+		if pause > 0 {
+			return Grant{RetryAfter: pause}, nil
+		}
+		// No other is left, and perhaps it was the link of this node that failed.
+		other = addr
+	}
+	if other != "" {
 		k.options.Metrics.askedElsewhere()
 		want.Waiting -= grant.Tokens
-		if answer, err := k.send(other, shardIndex, Loan{}, []Want{want}); err == nil && answer.weight > 0 {
+		if answer, err := k.send(other, shardIndex, loanTo(other, addr, loan), []Want{want}); err == nil && answer.weight > 0 {
 			more := answer.grants[0]
 			return Grant{grant.Tokens + more.Tokens, more.RetryAfter}, nil
 		}
@@ -281,17 +290,26 @@
 	return addr
 }
 
-// otherOwner returns the owner of a customer in any other failure domain, empty if there is none or if owners there have
-// lately had no tokens.
-func (k *Keeper) otherOwner(name string, now time.Time) string {
+// loanTo returns the loan for a message to addr: the one to the owner that this node lends to, or none.
+func loanTo(addr, lentTo string, loan Loan) Loan {
+	if addr == lentTo {
+		return loan
+	}
+	return Loan{}
+}
+
+// otherOwner returns the owner of a customer in any other failure domain, empty if there is none or, for the time that it
+// returns, if owners there have lately had no tokens.
+func (k *Keeper) otherOwner(name string, now time.Time) (addr string, pause time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s := k.stock(name); now.Before(s.elsewhereAfter) {
-		return ""
+		return "", s.elsewhereAfter.Sub(now)
 	}
-	return owner(k.nodes(), ShardOf(name), func(n routing.Node) bool {
+	addr = owner(k.nodes(), ShardOf(name), func(n routing.Node) bool {
 		return n.FailureDomain != k.options.FailureDomain && !k.silent.silent(n.Addr, now)
 	})
+	return addr, 0
 }
 
 // nodes returns the known nodes and counts them.
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -155,3 +155,35 @@
 	require.Eventually(t, func() bool { return node.Take(t.Context(), court).Allowed }, 5*time.Second, 10*time.Millisecond)
 	require.Positive(t, ownerKeeper.ledger.Weight(ShardOf(court.Name), time.Now()))
 }
+
+// failingPeer fails the first messages and then answers.
+type failingPeer struct {
+	slowPeer
+	failures int
+}
+
+func (p *failingPeer) Ask(ctx context.Context, addr string, request *apiv1.QuotaAskRequest) (*apiv1.QuotaAskResponse, error) {
+	if p.failures > 0 {
+		p.failures--
+		return nil, errUnreachable
+	}
+	return p.slowPeer.Ask(ctx, addr, request)
+}
+
+// Load pattern: the link of a node is so full that messages to all owners get no answer for some time. The node asks again
+// with the next call, because the owners have not failed; calls within the quota are refused no longer than the link is full.
+func TestNodeWithAFullLinkAsksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := []routing.Node{{Addr: "a-owner", FailureDomain: "a"}, {Addr: "b-owner", FailureDomain: "b"}}
+		k := newTestKeeper("self", &failingPeer{slowPeer{time.Millisecond}, 6}, nodes...)
+		for range 3 {
+			d := k.Take(t.Context(), court)
+			require.False(t, d.Allowed)
+			require.False(t, d.Known, "nobody has said that the quota is used up")
+		}
+		for range 3 {
+			k.Take(t.Context(), court)
+		}
+		require.True(t, k.Take(t.Context(), court).Allowed)
+	})
+}
--- a/internal/quota/silent.go
+++ b/internal/quota/silent.go
@@ -7,7 +7,7 @@
 const (
 	// silentFailures is the number of failures in a row after which a node is not asked for silentTime.
 	silentFailures = 2
-	silentTime     = 2 * time.Second
+	silentTime     = time.Second
 )
 
 // silentNodes remembers which nodes did not answer.
