Quotas: the silent owner of the own failure domain is the last to be asked

An owner to which nothing is lent no longer counts as knowing, so calls get 503 and not 429 from it. TestNodeWithAFullLinkAsksAgain, seen red without.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -250,19 +250,18 @@
 	if !silent {
 		answer, err := k.send(addr, shardIndex, loan, []Want{want})
 		if err == nil {
-			known, grant = true, answer.grants[0]
+			known, grant = answer.weight > 0, answer.grants[0]
 			if grant.Tokens >= want.Waiting || answer.weight > 0 && !isNew {
 				return grant, nil
 			}
 		}
 	}
 	other, pause := k.otherOwner(want.Customer, now)
-	if silent && other == "" {
+	if !known && other == "" {
 		if pause > 0 {
 			return Grant{RetryAfter: pause}, nil
 		}
-		// No other is left, and perhaps it was the link of this node that failed.
-		other = addr
+		other = k.silentOwner(shardIndex)
 	}
 	if other != "" {
 		k.options.Metrics.askedElsewhere()
@@ -290,6 +289,16 @@
 	return addr
 }
 
+// silentOwner returns the owner of a shard among the other nodes of the own failure domain, also one that has not answered: if
+// nobody has, the link of this node may be what failed.
+func (k *Keeper) silentOwner(shardIndex int) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return owner(k.nodes(), shardIndex, func(n routing.Node) bool {
+		return n.FailureDomain == k.options.FailureDomain && n.Addr != k.options.Addr
+	})
+}
+
 // loanTo returns the loan for a message to addr: the one to the owner that this node lends to, or none.
 func loanTo(addr, lentTo string, loan Loan) Loan {
 	if addr == lentTo {
