Tell a caller without memory that its request has not run, and let refusals arrive

Without memory for the first bytes of a header, or for reading ahead, the connection ended without a response; now the caller gets 503, and reading ahead pauses instead. A closing connection is drained for as long as the caller sends, at most 2 s. A session no longer waits for its idle timeout if a response decides to close between two requests (seen once in 5 runs with the race detector: the deadline that ends the reading was overwritten).

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -32,6 +32,10 @@
 	changed  chan struct{}
 	deadline time.Time
 	timer    *time.Timer
+	// received is the number of bytes that were read from the network.
+	received int64
+	// held is the number of bytes of data that are in the account.
+	held int
 	// discarding is set once nothing more of what is read is used.
 	discarding bool
 }
@@ -52,25 +56,35 @@
 	c.changed = make(chan struct{})
 }
 
+// releaseLocked gives back the memory of data that has been used. mu must be held.
+func (c *Conn) releaseLocked() {
+	if unused := c.held - len(c.data); unused > 0 {
+		c.held -= unused
+		_ = c.account.Hold(-int64(unused))
+	}
+}
+
 // readAhead reads from the connection until it ends.
 func (c *Conn) readAhead() {
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := c.Conn.Read(buffer)
-		if refused := c.account.Hold(int64(n)); refused != nil {
-			err = refused
-		}
+		// Without memory for more, reading pauses until what has been read is used.
+		refused := c.account.Hold(int64(n)) != nil
 		c.mu.Lock()
-		if c.discarding {
-			_ = c.account.Hold(-int64(n))
-		} else {
+		c.received += int64(n)
+		if !refused {
+			c.held += n
+		}
+		if !c.discarding {
 			c.data = append(c.data, buffer[:n]...)
 		}
+		c.releaseLocked()
 		if err != nil {
 			c.err = err
 		}
 		c.notifyLocked()
-		for c.err == nil && len(c.data) >= maxReadAhead {
+		for c.err == nil && (len(c.data) >= maxReadAhead || refused && len(c.data) > 0) {
 			changed := c.changed
 			c.mu.Unlock()
 			<-changed
@@ -99,8 +113,8 @@
 			if len(c.data) == 0 {
 				c.data = nil
 			}
+			c.releaseLocked()
 			c.notifyLocked()
-			_ = c.account.Hold(-int64(n))
 			return n, nil
 		case c.err != nil:
 			return 0, c.err
@@ -116,11 +130,18 @@
 func (c *Conn) Discard() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = c.account.Hold(-int64(len(c.data)))
 	c.data, c.discarding = nil, true
+	c.releaseLocked()
 	c.notifyLocked()
 }
 
+// Received returns the number of bytes that were read from the network.
+func (c *Conn) Received() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // SetReadDeadline sets the deadline of Read. Reading ahead goes on after it.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -25,6 +25,8 @@
 	maxBufferedBody = 64 << 10
 	// closeLinger is the time for which a closing connection waits for the caller to receive the last response.
 	closeLinger = 200 * time.Millisecond
+	// maxCloseLinger is that time for a caller that is still sending.
+	maxCloseLinger = 2 * time.Second
 )
 
 var errHeaderTooLong = errors.New("the header of the request is too long")
@@ -104,15 +106,29 @@
 		// CloseWrite fails if the caller has already closed the connection; then there is nothing to wait for.
 		s.conn.Discard()
 		if s.conn.CloseWrite() == nil {
-			select {
-			case <-s.conn.Context().Done():
-			case <-time.After(closeLinger):
-			}
+			s.linger()
 		}
 	}
 	_ = s.conn.Close()
 }
 
+// linger waits for the caller to close the connection, for as long as bytes arrive, at most maxCloseLinger.
+func (s *session) linger() {
+	before := s.conn.Received()
+	for range maxCloseLinger / closeLinger {
+		select {
+		case <-s.conn.Context().Done():
+			return
+		case <-time.After(closeLinger):
+		}
+		received := s.conn.Received()
+		if received == before {
+			return
+		}
+		before = received
+	}
+}
+
 // closeIfIdle closes the connection if it is idle.
 func (s *session) closeIfIdle() {
 	if s.idle.Load() {
@@ -194,14 +210,19 @@
 	}
 }
 
-// waitIdle records that the session waits for the first byte of a request.
-func (s *session) waitIdle() {
+// waitIdle records that the session waits for the first byte of a request. It reports false if no further request is accepted:
+// a response that decided so may have set the deadline that ends the reading before the session set its own.
+func (s *session) waitIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closeDecided {
+		return false
+	}
 	s.idle.Store(true)
 	if s.requests == 0 {
 		s.conn.account.Idle()
 	}
+	return true
 }
 
 // enqueue returns the response to an accepted request, to be sent after those of all earlier requests. It returns nil if an
@@ -240,13 +261,18 @@
 func (s *session) readRequest() (*http.Request, error) {
 	s.limit.remaining = s.server.options.MaxHeaderBytes()
 	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.options.IdleTimeout()))
-	s.waitIdle()
+	if !s.waitIdle() {
+		return nil, io.EOF
+	}
 	if s.server.stopping.Load() && s.reader.Buffered() == 0 {
 		// Shutdown may have called closeIfIdle before the session became idle.
 		_ = s.conn.SetReadDeadline(time.Now())
 	}
 	_, err := s.reader.Peek(1)
 	s.idle.Store(false)
+	if errors.Is(err, resources.ErrNoMemory) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, io.EOF
 	}
