--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -14,7 +14,7 @@
 	maxPressure = 4.0
 	// pressureWeight is the weight of the latest report in the mean of the pressure: a node makes some tens of inner calls a
 	// second, and a limit must follow within some of them.
-	pressureWeight = 0.5
+	pressureWeight = 0.4
 	// pressureHalfLife is the age at which the mean counts half. Without newer reports the service counts as free after some
 	// seconds, so a limit does not outlast the inner calls that it is learned from.
 	pressureHalfLife = 500 * time.Millisecond
