--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// askTimeout bounds a message to another node. Usually the answer takes less than a millisecond.
-	askTimeout = 100 * time.Millisecond
+	// askTimeout bounds a message to another node. Usually the answer takes less than a millisecond, but it waits behind calls on
+	// a link that is full.
+	askTimeout = 150 * time.Millisecond
 	// unknownRetryAfter is the time after which a caller may retry if no owner could be asked.
 	unknownRetryAfter = 250 * time.Millisecond
 	// elsewherePause is the time for which a node does not ask owners in other failure domains after a refusal.
@@ -119,7 +120,7 @@
 	s := k.stock(c.Name)
 	s.demand.add(1, now)
 	if until, ok := s.take(now); ok {
-		if s.size(now) == 0 && s.ahead(now) > 0 && !s.asking {
+		if s.size(now) == 0 && s.ahead(now) > 0 && !s.asking && !now.Before(s.refusedUntil) {
 			s.asking = true
 			go k.ask(c, s)
 		}
@@ -215,13 +216,15 @@
 		answered := k.options.Now()
 		until := now.Add(k.options.Terms.LeaseTime())
 		if r != nil {
-			r.granted, r.until, r.retryAfter, r.err = min(grant.Tokens, r.waiting), until, grant.RetryAfter, err
-			if err == nil && r.granted < r.waiting {
-				s.elsewhereAfter = answered.Add(elsewherePause)
-				s.refuse(max(grant.RetryAfter, minRetryAfter), answered)
-			}
+			r.granted, r.until, r.retryAfter, r.err = min(grant.Tokens, r.waiting), until, max(grant.RetryAfter, refusalTime), err
 			close(r.done)
 		}
+		if err == nil && grant.RetryAfter > 0 {
+			s.refuse(grant.RetryAfter, answered)
+		}
+		if err == nil && grant.Tokens < want.Waiting {
+			s.elsewhereAfter = answered.Add(elsewherePause)
+		}
 		s.add(grant.Tokens-want.Waiting, until, answered)
 		s.asking = s.next != nil
 		again := s.asking
@@ -247,16 +250,23 @@
 	if !silent {
 		answer, err := k.send(addr, shardIndex, loan, []Want{want})
 		if err == nil {
-			known, grant = true, answer.grants[0]
+			known, grant = answer.weight > 0, answer.grants[0]
 			if grant.Tokens >= want.Waiting || answer.weight > 0 && !isNew {
 				return grant, nil
 			}
 		}
 	}
-	if other := k.otherOwner(want.Customer, now); other != "" {
+	other, pause := k.otherOwner(want.Customer, now)
+	if !known && other == "" {
+		if pause > 0 {
+			return Grant{RetryAfter: pause}, nil
+		}
+		other = k.silentOwner(shardIndex)
+	}
+	if other != "" {
 		k.options.Metrics.askedElsewhere()
 		want.Waiting -= grant.Tokens
-		if answer, err := k.send(other, shardIndex, Loan{}, []Want{want}); err == nil && answer.weight > 0 {
+		if answer, err := k.send(other, shardIndex, loanTo(other, addr, loan), []Want{want}); err == nil && answer.weight > 0 {
 			more := answer.grants[0]
 			return Grant{grant.Tokens + more.Tokens, more.RetryAfter}, nil
 		}
@@ -279,17 +289,36 @@
 	return addr
 }
 
-// otherOwner returns the owner of a customer in any other failure domain, empty if there is none or if owners there have
-// lately had no tokens.
-func (k *Keeper) otherOwner(name string, now time.Time) string {
+// silentOwner returns the owner of a shard among the other nodes of the own failure domain, also one that has not answered: if
+// nobody has, the link of this node may be what failed.
+func (k *Keeper) silentOwner(shardIndex int) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return owner(k.nodes(), shardIndex, func(n routing.Node) bool {
+		return n.FailureDomain == k.options.FailureDomain && n.Addr != k.options.Addr
+	})
+}
+
+// loanTo returns the loan for a message to addr: the one to the owner that this node lends to, or none.
+func loanTo(addr, lentTo string, loan Loan) Loan {
+	if addr == lentTo {
+		return loan
+	}
+	return Loan{}
+}
+
+// otherOwner returns the owner of a customer in any other failure domain, empty if there is none or, for the time that it
+// returns, if owners there have lately had no tokens.
+func (k *Keeper) otherOwner(name string, now time.Time) (addr string, pause time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s := k.stock(name); now.Before(s.elsewhereAfter) {
-		return ""
+		return "", s.elsewhereAfter.Sub(now)
 	}
-	return owner(k.nodes(), ShardOf(name), func(n routing.Node) bool {
+	addr = owner(k.nodes(), ShardOf(name), func(n routing.Node) bool {
 		return n.FailureDomain != k.options.FailureDomain && !k.silent.silent(n.Addr, now)
 	})
+	return addr, 0
 }
 
 // nodes returns the known nodes and counts them.
