--- a/internal/gate/customer_shares_test.go
+++ b/internal/gate/customer_shares_test.go
@@ -183,3 +183,25 @@
 	require.Zero(t, s.Excess("d", epoch))
 	require.Zero(t, s.Excess("a", epoch.Add(time.Minute)), "work is forgotten")
 }
+
+// TestRefusalsForTheShareAreToldApart: a customer that is over its share is told so, one that meets a full queue is not.
+func TestRefusalsForTheShareAreToldApart(t *testing.T) {
+	q := fullQueue(1)
+	for range 20 {
+		q.customers.Charge("court", 1, 100*time.Millisecond, epoch)
+		q.customers.Charge("council", 3, 20*time.Millisecond, epoch)
+	}
+	within, over := entryAt(epoch, 1), entryAt(epoch, 1)
+	within.Customer, over.Customer = "council", "court"
+	within.FinishBy, over.FinishBy = epoch.Add(time.Second), epoch.Add(time.Second)
+	require.Equal(t, Wait, q.Admit(within, epoch).Action)
+	decision := q.Admit(over, epoch)
+	require.Equal(t, Refuse, decision.Action)
+	require.True(t, decision.OverShare)
+	require.Equal(t, q.customers.TimeToShare("court", epoch), decision.RetryAfter)
+	late := entryAt(epoch, 1)
+	late.Customer, late.FinishBy = "council", epoch
+	decision = q.Admit(late, epoch)
+	require.Equal(t, Refuse, decision.Action)
+	require.False(t, decision.OverShare)
+}
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -34,6 +34,8 @@
 	Action Action
 	// RetryAfter is the time after which a refused call would be admitted.
 	RetryAfter time.Duration
+	// OverShare says that the customer has had more than its share, and that others wait.
+	OverShare bool
 	// Slow says that a slot was free, but the call is expected to finish earlier elsewhere.
 	Slow bool
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -83,6 +83,8 @@
 	repeatedShare float64
 	cold          coldState
 	pacedRefusals atomic.Uint64
+	// shareRefusals counts the calls that were refused because their customer was over its share.
+	shareRefusals atomic.Uint64
 }
 
 // serverIncarnation identifies one start of a backend server, with the address and version that it announced.
@@ -346,6 +348,10 @@
 		return refusal(calls.ReasonCanceled, "the caller left while the call waited")
 	}
 	result := refusal(calls.ReasonFull, "the call would wait for longer than it can")
+	if decision.OverShare {
+		g.shareRefusals.Add(1)
+		result.Detail = "the customer has more than its share while others wait"
+	}
 	if decision.Slow {
 		result = refusal(calls.ReasonSlow, "the machine is too slow for the call at this moment")
 	}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -16,6 +16,10 @@
 			func() float64 { return g.Load().LinkWait.Seconds() }),
 		gauge("samphireflow_gate_held_bytes", "Bytes of long responses that were read from the backend server and are not sent yet.",
 			func() float64 { return float64(g.options.Link.Held()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "samphireflow_gate_share_refusals_total",
+			Help: "Calls that were refused because their customer had more than its share while others waited.",
+		}, func() float64 { return float64(g.shareRefusals.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "samphireflow_gate_link_refusals_total",
 			Help: "Calls that were refused because the link would have sent their response too late.",
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -73,7 +73,7 @@
 		e.overShare = q.customers.Excess(e.Customer, now) > 0
 	}
 	if e.overShare && q.hasWaiterWithinShare(e.Priority) {
-		return Decision{Action: Refuse, RetryAfter: max(q.customers.TimeToShare(e.Customer, now), minRetryAfter)}
+		return Decision{Action: Refuse, OverShare: true, RetryAfter: max(q.customers.TimeToShare(e.Customer, now), minRetryAfter)}
 	}
 	if !e.Inner && q.missesObjective(e, now) && q.hasTimelyWaiter(now) {
 		return Decision{Action: Refuse, RetryAfter: max(q.expectedWait(len(q.waiting), now), minRetryAfter)}
