--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -49,7 +49,7 @@
 	ReasonShed Reason = "shed"
 	// ReasonBroken means that the exchange ended without a complete response of the backend server.
 	ReasonBroken Reason = "broken"
-	// ReasonSilent means that no word came from the gate within the objective of the call, until the deadline passed or the
+	// ReasonSilent means that no answer came from the gate within the objective of the call, until the deadline passed or the
 	// caller closed its connection.
 	ReasonSilent Reason = "silent"
 	// ReasonDeadline means that the deadline passed before the response arrived or before the call was sent.
--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -35,9 +35,9 @@
 	rate    float64
 	start   time.Duration
 	unknown bool
-	// told is the end of the coldness that a response of the backend server told of; suspected is the end of one that the gate
+	// reported is the end of the coldness that a response of the backend server reported; suspected is the end of one that the gate
 	// suspects, because the backend server refused connections and so has started again.
-	told, suspected time.Time
+	reported, suspected time.Time
 	// logged is the end of the coldness that was logged last.
 	logged time.Time
 }
@@ -68,7 +68,7 @@
 
 // coldUntil returns the end of the coldness of the backend server. The caller must hold mu.
 func (g *Gate) coldUntil() time.Time {
-	until := g.cold.told
+	until := g.cold.reported
 	if g.options.ColdUntil != nil {
 		if announced := g.options.ColdUntil(); announced.After(until) {
 			until = announced
@@ -131,7 +131,7 @@
 }
 
 // readCold records what a response says of the coldness of the backend server. What was said before is never shortened,
-// because words may arrive late.
+// because reports may arrive late.
 func (g *Gate) readCold(header http.Header) {
 	if g.options.Headers.ColdMs == "" {
 		return
@@ -142,7 +142,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if until := g.options.Now().Add(time.Duration(ms * float64(time.Millisecond))); until.After(g.cold.told) {
-		g.cold.told = until
+	if until := g.options.Now().Add(time.Duration(ms * float64(time.Millisecond))); until.After(g.cold.reported) {
+		g.cold.reported = until
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -277,7 +277,7 @@
 		}
 		g.queue = NewQueue(slots)
 		// Its own announcements say how long it is cold.
-		g.cold.told, g.cold.suspected = time.Time{}, time.Time{}
+		g.cold.reported, g.cold.suspected = time.Time{}, time.Time{}
 	}
 	g.noteTerms(terms)
 	return announced, nil
@@ -359,12 +359,12 @@
 	return result
 }
 
-// hearLoad takes in what the backend server says of its machine in a response.
-func (g *Gate) hearLoad(queue *Queue, response *exchange.Response) {
+// observeLoad takes in what the backend server reports of its machine in a response.
+func (g *Gate) observeLoad(queue *Queue, response *exchange.Response) {
 	if load, ok := calls.ParseLoad(response.Header.Get(g.options.Headers.Load)); ok && load.Slowdown > 0 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		queue.hearLoad(load, g.options.Now())
+		queue.observeLoad(load, g.options.Now())
 	}
 }
 
@@ -405,7 +405,7 @@
 	}
 	g.closeBreaker()
 	g.readCold(response.Header)
-	g.hearLoad(queue, response)
+	g.observeLoad(queue, response)
 	return g.classify(response)
 }
 
--- a/internal/gate/latency_means.go
+++ b/internal/gate/latency_means.go
@@ -22,7 +22,7 @@
 // Load pattern: 15% of the machines take 2.5 times as long for some 600 ms at a time. An average over the last ten calls
 // follows that too late, and a call that began in such a time makes the next ones look slow.
 type LatencyMeans struct {
-	word    slowdown.Word
+	machine slowdown.Estimator
 	byRoute map[string]time.Duration
 	overall time.Duration
 }
@@ -47,15 +47,15 @@
 // after it at the speed of this moment.
 func (m *LatencyMeans) SlowedPast(route string, by, now time.Time) bool {
 	mean := m.forRoute(route)
-	return m.word.Told() && !now.Add(scale(mean, m.word.Usual())).After(by) && now.Add(scale(mean, m.word.At(now))).After(by)
+	return m.machine.Known() && !now.Add(scale(mean, m.machine.Usual())).After(by) && now.Add(scale(mean, m.machine.At(now))).After(by)
 }
 
 // slowed returns a mean latency times the slowdown of this moment.
 func (m *LatencyMeans) slowed(mean time.Duration, now time.Time) time.Duration {
-	if !m.word.Told() {
+	if !m.machine.Known() {
 		return mean
 	}
-	return scale(mean, m.word.At(now))
+	return scale(mean, m.machine.At(now))
 }
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
--- a/internal/gate/pass_on_test.go
+++ b/internal/gate/pass_on_test.go
@@ -15,8 +15,8 @@
 	for range 4 {
 		q.Release("lookup", 0, epoch)
 	}
-	q.hearLoad(calls.Load{Slowdown: usual}, epoch.Add(-time.Second))
-	q.hearLoad(calls.Load{Slowdown: slowdown}, epoch)
+	q.observeLoad(calls.Load{Slowdown: usual}, epoch.Add(-time.Second))
+	q.observeLoad(calls.Load{Slowdown: slowdown}, epoch)
 	return q
 }
 
@@ -51,7 +51,7 @@
 		q.running = 1
 		q.Release("lookup", atSlowdownOne(250*time.Millisecond, q.slowdown(epoch)), epoch)
 	}
-	q.hearLoad(calls.Load{Slowdown: 1}, epoch)
+	q.observeLoad(calls.Load{Slowdown: 1}, epoch)
 	require.InDelta(t, 100*time.Millisecond, q.latencies.Expected("lookup", epoch), float64(5*time.Millisecond))
 	require.Equal(t, 250*time.Millisecond, atSlowdownOne(250*time.Millisecond, 0), "none is told")
 }
--- a/internal/gate/uneven_servers_test.go
+++ b/internal/gate/uneven_servers_test.go
@@ -177,7 +177,7 @@
 func (l *unevenLoad) complete(c *unevenCall, took time.Duration, heard float64) {
 	s := l.servers[c.server]
 	if l.told {
-		s.queue.hearLoad(calls.Load{Slowdown: l.slowdown(s)}, l.now)
+		s.queue.observeLoad(calls.Load{Slowdown: l.slowdown(s)}, l.now)
 	}
 	s.queue.Release("history", atSlowdownOne(took, heard), l.now)
 	result := &calls.Result{Outcome: calls.Answered, Response: &exchange.Response{Status: 200}, Load: l.load(s), Latency: took}
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -226,7 +226,7 @@
 	return result
 }
 
-// silent reports whether no word came from the gate for as long as the objective, although it was due: at the deadline, or when
+// silent reports whether no answer came from the gate for as long as the objective, although it was due: at the deadline, or when
 // a run gave up its inner call. A caller that leaves earlier says nothing, since the call may run.
 func (d *dispatch) silent(result *calls.Result, began time.Time) bool {
 	due := result.Outcome == calls.Expired || result.Outcome == calls.Canceled && d.call.Inner
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// usableShare is the share of the link that is given to responses; requests to other nodes and the words of membership
+	// usableShare is the share of the link that is given to responses; requests to other nodes and messages about members
 	// take the rest.
 	usableShare = 0.9
 	// pieceBytes is the length of the pieces in which long responses are sent. A link of 21 Mbit/s takes 3 ms for one.
--- a/internal/placement/server_stats.go
+++ b/internal/placement/server_stats.go
@@ -61,9 +61,9 @@
 	// the time of its last update.
 	meanLatency   time.Duration
 	meanLatencyAt time.Time
-	// word is what the backend server last told of its slowdown. meanSlowdown is the moving average of the slowdown over the
+	// machine estimates the slowdown of the backend server's machine. meanSlowdown is the moving average of the slowdown over the
 	// calls of meanLatency, 0 if none was told.
-	word         slowdown.Word
+	machine      slowdown.Estimator
 	meanSlowdown float64
 	// errorRate is the moving average of the share of failed and shed calls; errorRateAt is the time of its last update.
 	errorRate   float64
@@ -115,8 +115,8 @@
 		s.otherCalls = max(result.Load.Running+result.Load.Waiting-s.ownCalls, 0)
 		s.reportedAt = now
 		s.linkWait = result.Load.LinkWait
-		s.word.Hear(result.Load.Slowdown, now)
-		if s.word.Told() {
+		s.machine.Observe(result.Load.Slowdown, now)
+		if s.machine.Known() {
 			s.meanOtherCalls += otherCallsWeight * (float64(s.otherCalls) - s.meanOtherCalls)
 		}
 		if s.unreachableInRow > 0 {
@@ -140,7 +140,7 @@
 }
 
 // avoidUnreachable makes calls avoid the backend server for longer with each call in a row that could not reach its gate or
-// got no word from it.
+// got no answer from it.
 //
 // Load pattern: the link of a node is full, so that no answer leaves it in time. Its backend server looks idle, as only
 // calls in flight and reports of load count, and gets the calls of all nodes, which keep the link full.
@@ -165,10 +165,10 @@
 	} else {
 		s.meanLatency += time.Duration(latencyWeight * float64(result.Latency-s.meanLatency))
 	}
-	if s.meanSlowdown == 0 && s.word.Told() {
-		s.meanSlowdown = s.word.At(now)
-	} else if s.word.Told() {
-		s.meanSlowdown += latencyWeight * (s.word.At(now) - s.meanSlowdown)
+	if s.meanSlowdown == 0 && s.machine.Known() {
+		s.meanSlowdown = s.machine.At(now)
+	} else if s.machine.Known() {
+		s.meanSlowdown += latencyWeight * (s.machine.At(now) - s.meanSlowdown)
 	}
 	s.meanLatencyAt = now
 }
@@ -214,7 +214,7 @@
 func (s *ServerStats) snapshot(now time.Time) snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, slowdown: s.word.At(now), avoid: now.Before(s.avoidUntil)}
+	snap := snapshot{slots: float64(s.slots), occupied: float64(s.ownCalls), meanLatency: s.meanLatency, slowdown: s.machine.At(now), avoid: now.Before(s.avoidUntil)}
 	if s.meanSlowdown > 0 {
 		snap.meanLatency = time.Duration(float64(s.meanLatency) / s.meanSlowdown)
 	}
