--- a/internal/control/evacuation_order.go
+++ b/internal/control/evacuation_order.go
@@ -12,8 +12,8 @@
 // evacuationOrder decides what an order to give or withdraw an evacuation does to a view. It is pure.
 //
 // Load pattern: during trouble an operator sends the same order to several control instances, and a slow one may still handle
-// its copy after the order was withdrawn. An order takes effect only if no other one for the failure domain was accepted since it was first handled;
-// a copy that was overtaken by a later order is refused and does not undo that.
+// its copy after the order was withdrawn. An order takes effect only if no other one for the failure domain was accepted since
+// it was first handled; a copy that was overtaken by a later order is refused and does not undo that.
 type evacuationOrder struct {
 	path     tree.Path
 	withdraw bool
--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -75,7 +75,8 @@
 }
 
 // run makes attempts until a backend server has responded or the call is refused or fails. The exchange with the backend
-// server lasts until the deadline, or until the response has been read. The result of an attempt may arrive shortly after the deadline.
+// server lasts until the deadline, or until the response has been read. The result of an attempt may arrive resultGrace after the
+// deadline.
 func (d *dispatch) run(ctx context.Context) (*exchange.Response, *refusal) {
 	ctx, cancel := context.WithDeadline(ctx, d.call.Deadline.Add(resultGrace))
 	response, refused := d.makeAttempts(ctx)
