--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -6,16 +6,16 @@
 
 // bucket holds the tokens of one customer at one ledger.
 type bucket struct {
-	tokens    float64
-	allowance allowance
-	settled   time.Time
-	demand    demand
+	tokens   float64
+	capacity bucketLimit
+	settled  time.Time
+	demand   demand
 }
 
 // settle adds the tokens that have accrued. Weight is the sum of the loans since the last settlement.
 func (b *bucket) settle(weight float64, now time.Time) {
 	if passed := now.Sub(b.settled); passed > 0 {
-		b.tokens += b.allowance.rate * weight * passed.Seconds()
+		b.tokens += b.capacity.rate * weight * passed.Seconds()
 		b.settled = now
 	}
 	b.limit(weight)
@@ -23,16 +23,16 @@
 
 // limit removes the tokens that do not fit.
 func (b *bucket) limit(weight float64) {
-	b.tokens = min(b.tokens, b.allowance.depth*weight)
+	b.tokens = min(b.tokens, b.capacity.depth*weight)
 }
 
-// adopt sets the allowance. What accrued until now accrued by the old one; a smaller depth applies at once.
-func (b *bucket) adopt(a allowance, weight float64, now time.Time) {
-	if b.allowance == a {
+// adopt sets the limit. What accrued until now accrued by the old one; a smaller depth applies at once.
+func (b *bucket) adopt(a bucketLimit, weight float64, now time.Time) {
+	if b.capacity == a {
 		return
 	}
 	b.settle(weight, now)
-	b.allowance = a
+	b.capacity = a
 	b.limit(weight)
 }
 
@@ -45,7 +45,7 @@
 
 // nextToken returns the time until there is a whole token if none is taken meanwhile.
 func (b *bucket) nextToken(weight float64) time.Duration {
-	rate := b.allowance.rate * weight
+	rate := b.capacity.rate * weight
 	if rate <= 0 {
 		return maxRetryAfter
 	}
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -78,7 +78,7 @@
 			shardIndex := ShardOf(court.Name)
 			k.ledger.shards[shardIndex].loans["n"] = heldLoan{weight: 0.5, since: time.Now(), until: time.Now().Add(time.Hour)}
 			k.ledger.shards[shardIndex].reweigh()
-			b := k.ledger.shards[shardIndex].bucket(court.Name, testTerms.allowance(court.Rate, court.Burst), time.Now())
+			b := k.ledger.shards[shardIndex].bucket(court.Name, testTerms.bucketLimit(court.Rate, court.Burst), time.Now())
 			k.transfer("b-owner", &apiv1.QuotaTransferRequest{
 				Shard: uint32(shardIndex), Wants: []*apiv1.QuotaTransferWant{{Customer: court.Name, Tokens: 8}},
 			}, time.Now())
@@ -107,7 +107,7 @@
 		Shard: uint32(shardIndex), Wants: []*apiv1.QuotaWant{{Customer: court.Name, Waiting: 10_000, Rate: 900, Burst: 900}},
 	})
 	require.NoError(t, err)
-	depth := testTerms.allowance(court.Rate, court.Burst).depth
+	depth := testTerms.bucketLimit(court.Rate, court.Burst).depth
 	require.InDelta(t, depth, float64(response.Grants[0].Tokens), 1)
 }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -93,7 +93,7 @@
 func (l *Ledger) Grant(shardIndex int, want Want, now time.Time) Grant {
 	s := l.shards[shardIndex]
 	s.advance(now)
-	b := s.bucket(want.Customer, l.terms.allowance(want.Rate, want.Burst), now)
+	b := s.bucket(want.Customer, l.terms.bucketLimit(want.Rate, want.Burst), now)
 	if b == nil {
 		return Grant{RetryAfter: maxRetryAfter}
 	}
@@ -103,14 +103,14 @@
 		return Grant{Tokens: granted, RetryAfter: max(b.nextToken(s.weight), minRetryAfter)}
 	}
 	grant := Grant{Tokens: granted + b.take(min(want.Ahead, int(aheadShare*b.tokens)))}
-	if b.tokens < max(b.allowance.rate*s.weight*lowTime.Seconds(), 1) {
+	if b.tokens < max(b.capacity.rate*s.weight*lowTime.Seconds(), 1) {
 		grant.RetryAfter = max(b.nextToken(s.weight), minRetryAfter)
 	}
 	return grant
 }
 
 // Give removes up to want tokens for the owner in another failure domain and returns their number.
-func (l *Ledger) Give(shardIndex int, customer string, want float64, a allowance, now time.Time) float64 {
+func (l *Ledger) Give(shardIndex int, customer string, want float64, a bucketLimit, now time.Time) float64 {
 	s := l.shards[shardIndex]
 	s.advance(now)
 	b := s.bucket(customer, a, now)
@@ -124,7 +124,7 @@
 }
 
 // Receive adds tokens that another owner gave. What does not fit is lost.
-func (l *Ledger) Receive(shardIndex int, customer string, tokens float64, a allowance, now time.Time) {
+func (l *Ledger) Receive(shardIndex int, customer string, tokens float64, a bucketLimit, now time.Time) {
 	s := l.shards[shardIndex]
 	s.advance(now)
 	if b := s.bucket(customer, a, now); b != nil {
@@ -134,7 +134,7 @@
 }
 
 // Lacking returns the number of tokens that should be asked of other owners, 0 if there are enough for now.
-func (l *Ledger) Lacking(shardIndex int, customer string, a allowance, now time.Time) float64 {
+func (l *Ledger) Lacking(shardIndex int, customer string, a bucketLimit, now time.Time) float64 {
 	s := l.shards[shardIndex]
 	s.advance(now)
 	b := s.bucket(customer, a, now)
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -58,7 +58,7 @@
 	l.pass(10*time.Second, map[string]float64{"a": 0.25})
 	l.lend("b", 0.25)
 	l.now = l.now.Add(100 * time.Millisecond)
-	depth := testTerms.allowance(100, 100).depth
+	depth := testTerms.bucketLimit(100, 100).depth
 	require.InDelta(t, 0.25*depth+0.25*100*0.1, float64(l.grant(1000)), 1)
 }
 
@@ -90,7 +90,7 @@
 	l := newLedgerAt()
 	l.pass(10*time.Second, map[string]float64{"a": 0.5, "b": 0.25})
 	l.lend("a", 0)
-	require.InDelta(t, 0.25*testTerms.allowance(100, 100).depth, float64(l.grant(1000)), 1)
+	require.InDelta(t, 0.25*testTerms.bucketLimit(100, 100).depth, float64(l.grant(1000)), 1)
 }
 
 // Load pattern: a customer's calls all come to one failure domain, while the owner in another has demand of its own. It gives
@@ -98,7 +98,7 @@
 func TestTransferLeavesWhatTheOwnCallersNeed(t *testing.T) {
 	l := newLedgerAt()
 	l.pass(10*time.Second, map[string]float64{"a": 0.5})
-	a := testTerms.allowance(100, 100)
+	a := testTerms.bucketLimit(100, 100)
 	for range 40 {
 		l.grant(1)
 	}
@@ -114,7 +114,7 @@
 func TestTransferDoesNotOverfill(t *testing.T) {
 	l := newLedgerAt()
 	l.pass(10*time.Second, map[string]float64{"a": 0.5})
-	a := testTerms.allowance(100, 100)
+	a := testTerms.bucketLimit(100, 100)
 	l.Receive(0, "c", 50, a, l.now)
 	require.InDelta(t, 0.5*a.depth, float64(l.grant(1000)), 1)
 	l.Receive(0, "c", 20, a, l.now)
@@ -126,14 +126,14 @@
 func TestAllowanceIsWithinTheBound(t *testing.T) {
 	for _, terms := range []Terms{testTerms, {}, {Window: time.Second}, {Window: time.Minute, Overrun: 1}, {Window: time.Second, Slack: 1}} {
 		for _, quota := range [][2]float64{{1, 0}, {6, 6}, {650, 650}, {650, 1}, {0.1, 100}} {
-			a := terms.allowance(quota[0], quota[1])
+			a := terms.bucketLimit(quota[0], quota[1])
 			span := (terms.window() + terms.LeaseTime() + terms.TransferTime()).Seconds()
 			require.LessOrEqual(t, a.rate*span+a.depth, terms.Bound(quota[0], quota[1])+1e-9)
 			require.Positive(t, a.rate)
 			require.LessOrEqual(t, a.rate, quota[0])
 		}
 	}
-	a := testTerms.allowance(650, 650)
+	a := testTerms.bucketLimit(650, 650)
 	require.Equal(t, 650.0, a.rate)
 	require.GreaterOrEqual(t, a.depth, 650.0)
 }
--- a/internal/quota/run.go
+++ b/internal/quota/run.go
@@ -73,7 +73,7 @@
 		c := k.options.Customers().ByName(name)
 		lacking := 0.0
 		if c.Limited() {
-			lacking = k.ledger.Lacking(i, name, k.options.Terms.allowance(c.Rate, c.Burst), now)
+			lacking = k.ledger.Lacking(i, name, k.options.Terms.bucketLimit(c.Rate, c.Burst), now)
 		}
 		if lacking <= 0 {
 			delete(k.pulls, name)
@@ -139,7 +139,7 @@
 		if !c.Limited() || !(tokens >= 0 && tokens <= want.Tokens) {
 			continue
 		}
-		k.ledger.Receive(int(request.Shard), want.Customer, tokens, k.options.Terms.allowance(c.Rate, c.Burst), now)
+		k.ledger.Receive(int(request.Shard), want.Customer, tokens, k.options.Terms.bucketLimit(c.Rate, c.Burst), now)
 		k.options.Metrics.transferred(tokens)
 		if p := k.pulls[want.Customer]; p != nil {
 			p.received(tokens, want.Tokens, now)
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -62,7 +62,7 @@
 		if !c.Limited() || !finite(want.Tokens) || ShardOf(want.Customer) != int(request.Shard) {
 			continue
 		}
-		response.Tokens[i] = k.ledger.Give(int(request.Shard), want.Customer, want.Tokens, k.options.Terms.allowance(c.Rate, c.Burst), now)
+		response.Tokens[i] = k.ledger.Give(int(request.Shard), want.Customer, want.Tokens, k.options.Terms.bucketLimit(c.Rate, c.Burst), now)
 	}
 	return response, nil
 }
@@ -88,7 +88,7 @@
 		if ShardOf(want.Customer) == shardIndex {
 			grant = k.ledger.Grant(shardIndex, Want{Customer: want.Customer, Waiting: int(want.Waiting), Ahead: int(want.Ahead), Refused: int(min(want.Refused, maxCalls)), Rate: rate, Burst: burst}, now)
 		}
-		k.notePull(shardIndex, want.Customer, k.options.Terms.allowance(rate, burst), now)
+		k.notePull(shardIndex, want.Customer, k.options.Terms.bucketLimit(rate, burst), now)
 		response.Grants = append(response.Grants, &apiv1.QuotaGrant{Tokens: uint32(grant.Tokens), RetryAfterMs: uint32(grant.RetryAfter.Milliseconds())})
 		k.options.Metrics.granted(grant)
 	}
@@ -98,7 +98,7 @@
 }
 
 // notePull notes that a customer lacks tokens here, for the next round.
-func (k *Keeper) notePull(shardIndex int, name string, a allowance, now time.Time) {
+func (k *Keeper) notePull(shardIndex int, name string, a bucketLimit, now time.Time) {
 	if k.pulls[name] == nil && len(k.pulls) < maxBuckets && k.ledger.Lacking(shardIndex, name, a, now) > 0 {
 		k.pulls[name] = &pull{}
 	}
--- a/internal/quota/shard.go
+++ b/internal/quota/shard.go
@@ -90,14 +90,14 @@
 	return true
 }
 
-// bucket returns the settled bucket of a customer with the given allowance, nil if there are too many customers.
-func (s *shard) bucket(customer string, a allowance, now time.Time) *bucket {
+// bucket returns the settled bucket of a customer with the given limit, nil if there are too many customers.
+func (s *shard) bucket(customer string, a bucketLimit, now time.Time) *bucket {
 	b := s.buckets[customer]
 	if b == nil {
 		if len(s.buckets) >= maxBuckets && !s.dropUnused(now) {
 			return nil
 		}
-		b = &bucket{tokens: s.accrued(a, now), allowance: a, settled: now}
+		b = &bucket{tokens: s.accrued(a, now), capacity: a, settled: now}
 		s.buckets[customer] = b
 		return b
 	}
@@ -107,7 +107,7 @@
 }
 
 // accrued returns the tokens that a customer without calls has accrued: each lender's part since the loan began.
-func (s *shard) accrued(a allowance, now time.Time) float64 {
+func (s *shard) accrued(a bucketLimit, now time.Time) float64 {
 	var sum float64
 	for _, loan := range s.loans {
 		sum += loan.weight * min(a.rate*now.Sub(loan.since).Seconds(), a.depth)
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -52,19 +52,19 @@
 	return t.transitTime() - t.LeaseTime()
 }
 
-// allowance is what all ledgers together may grant to a customer: rate tokens per second, and depth tokens at once.
-type allowance struct {
+// bucketLimit is what all ledgers together may grant to a customer: rate tokens per second, and depth tokens at once.
+type bucketLimit struct {
 	rate  float64
 	depth float64
 }
 
-// allowance returns the largest allowance within the bound. What is spent in a window was at a ledger or accrued there in the
+// bucketLimit returns the largest limit within the bound. What is spent in a window was at a ledger or accrued there in the
 // window or up to transitTime before it, which makes depth + rate x (window + transitTime) tokens.
-func (t Terms) allowance(rate, burst float64) allowance {
+func (t Terms) bucketLimit(rate, burst float64) bucketLimit {
 	if rate <= 0 {
-		return allowance{}
+		return bucketLimit{}
 	}
 	bound, span := t.Bound(rate, burst), (t.window() + t.transitTime()).Seconds()
 	depth := max(bound-rate*span, minDepthShare*bound)
-	return allowance{rate: min(rate, (bound-depth)/span), depth: depth}
+	return bucketLimit{rate: min(rate, (bound-depth)/span), depth: depth}
 }
