--- a/internal/tree/digests.go
+++ b/internal/tree/digests.go
@@ -1,15 +1,13 @@
 package tree
 
 import (
-	"encoding/hex"
 	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
-)
 
-// digestBytes is the length of the digest of a key: SHA-256, truncated to 128 bits.
-const digestBytes = 16
+	"samphireflow/internal/customer"
+)
 
 // maxDigests bounds the keys of one customer.
 const maxDigests = 1024
@@ -18,8 +16,8 @@
 func ParseDigests(text string) ([]string, error) {
 	digests := strings.Fields(strings.ToLower(text))
 	for _, digest := range digests {
-		if raw, err := hex.DecodeString(digest); err != nil || len(raw) != digestBytes {
-			return nil, errors.Errorf("%q is not a digest of %d hexadecimal digits", digest, 2*digestBytes)
+		if _, ok := customer.ParseDigest(digest); !ok {
+			return nil, errors.Errorf("%q is not a digest of %d hexadecimal digits", digest, 2*len(customer.Digest{}))
 		}
 	}
 	slices.Sort(digests)
