Keep no runs where the parent of a call cannot be known

Cause: on the users' platform no request ID tells the parent, yet each call took the controller's lock and was stored in its map and learned from, for nothing. Change: without a separator there is no controller; every call was admitted before and is now.

--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/admission"
 	"samphireflow/internal/calls"
 	"samphireflow/internal/gate"
 	"samphireflow/internal/hop"
@@ -58,13 +57,7 @@
 		IdleConnTimeout:     peerIdleTimeout,
 	}}
 	stop := &calls.StopAdmission{}
-	innerCalls := admission.NewController(admission.Options{
-		IDSeparator: headers.IDSeparator, Metrics: admission.NewMetrics(registry),
-		LimitChanged: func(service string, limited bool, pressure, committed float64) {
-			logger.Info().Str("service", service).Bool("limited", limited).Float64("pressure", pressure).
-				Float64("expected_inner_calls", committed).Msg("calls are admitted by the room of a service that their runs call")
-		},
-	})
+	innerCalls := newInnerCalls(headers.IDSeparator, registry, logger)
 	g := &gatedTraffic{
 		stop: stop,
 		gate: gate.New(gate.Options{
