--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -26,12 +26,6 @@
 	Path    string
 }
 
-// Work is the time in which a backend was at work on a request, the reading of its body included.
-type Work struct {
-	ID         string
-	Began, End time.Time
-}
-
 // Backend is a stand-in for the backend beside a node.
 type Backend struct {
 	machine *Machine
@@ -50,7 +44,6 @@
 	crashed bool
 	seq     int
 	runs    []Run
-	works   []Work
 	stop    chan struct{}
 }
 
@@ -97,7 +90,7 @@
 	}
 	b.runs = append(b.runs, run)
 	b.mu.Unlock()
-	b.machine.deployment.record.Note("run      %s %s %s at %s, beside %s", id, r.Method, r.URL.Path, b.ID, b.machine.Name)
+	b.machine.deployment.record.Note("run      %s %s %s for %s at %s, beside %s", id, r.Method, r.URL.Path, r.Header.Get("X-Caller-Service"), b.ID, b.machine.Name)
 	if crashes {
 		b.machine.deployment.record.Note("crash    of %s by %s", b.ID, id)
 		// Closes the address and all connections, as the end of a process does.
@@ -105,11 +98,6 @@
 		b.onCrash()
 		panic(http.ErrAbortHandler)
 	}
-	defer func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.works = append(b.works, Work{ID: id, Began: run.At, End: time.Now()})
-	}()
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		b.machine.deployment.record.Note("dropped  %s at %s, its connection is closed", id, b.ID)
 		panic(http.ErrAbortHandler)
@@ -127,13 +115,6 @@
 	return append([]Run(nil), b.runs...)
 }
 
-// Works returns the times in which the backend was at work on requests that have ended.
-func (b *Backend) Works() []Work {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]Work(nil), b.works...)
-}
-
 // Ping is a heartbeat, numbered when it is made. It may be sent later.
 type Ping struct {
 	backend *Backend
--- a/review/standin-2/case_first_start.go
+++ b/review/standin-2/case_first_start.go
@@ -8,7 +8,7 @@
 
 const (
 	// lostAfter is the time after its start at which a machine of the core is gone for good.
-	lostAfter = 20 * time.Millisecond
+	lostAfter = 5 * time.Millisecond
 	// emptyAfter is the time after which an empty one comes at another address.
 	emptyAfter = time.Second
 	// firstConfigTime is the time for which the first configuration is sent again until it is accepted.
@@ -23,8 +23,11 @@
 	for zone := range zones {
 		sides = append(sides, d.AddSidecar(1, zone, "reservas"))
 	}
-	if err := d.StartAll(); err != nil {
-		return verdict(d, exitNotRun, "start: %v", err)
+	// The machine that is lost starts last.
+	for _, m := range append(append([]*Machine{cores[0], cores[1]}, sides...), cores[2]) {
+		if err := m.StartFirst(); err != nil {
+			return verdict(d, exitNotRun, "start: %v", err)
+		}
 	}
 	running := cores
 	if trouble {
--- a/review/standin-2/case_vain_delete.go
+++ b/review/standin-2/case_vain_delete.go
@@ -5,18 +5,22 @@
 	"time"
 )
 
-// Times of the case, from the moment T of the kill.
+// Times of the case.
 const (
-	oldPingAt   = 1100 * time.Millisecond
-	leaveAt     = 1350 * time.Millisecond
-	latePingAt  = 2 * time.Second
-	vainDown    = 800 * time.Millisecond
-	crashBefore = 4 * time.Second
+	// vainDown is the time for which the killed process is down.
+	vainDown = 800 * time.Millisecond
+	// crashBefore is the time from the start of the new boot to the kill.
+	crashBefore = 3 * time.Second
+	// leaveWait and lateWait are the times from the old ping to the DELETE, and from there to the late ping.
+	leaveWait = 200 * time.Millisecond
+	lateWait  = 700 * time.Millisecond
+	// vainLatePings is the number of the new boot's pings that arrive late.
+	vainLatePings = 4
 )
 
 // vainDelete: a backend has crashed and another boot has taken its place. The node beside them is killed and started again. The
 // first message that it gets is a ping of the crashed boot, which a partition had delayed; then the new boot leaves with a DELETE,
-// which the node acknowledges; then a late ping of the new boot arrives. The backend must get no new work.
+// which the node acknowledges; then late pings of the new boot arrive. The backend must get no new work.
 func vainDelete(d *Deployment, trouble bool) int {
 	rota, problem := startRota(d, "i-aaaa0001")
 	if problem != "" {
@@ -42,9 +46,13 @@
 	for end := time.Now().Add(crashBefore); time.Now().Before(end); time.Sleep(heartbeatInterval) {
 		leaving.NewPing("ready").Send()
 	}
-	late := leaving.NewPing("ready")
+	var late []*Ping
+	for range vainLatePings {
+		late = append(late, leaving.NewPing("ready"))
+		d.record.Note("ping %d of %s is made; it arrives late", late[len(late)-1].seq, leaving.ID)
+		time.Sleep(heartbeatInterval)
+	}
 	killed := time.Now()
-	d.record.Note("T: ping %d of %s is made; it arrives %v later", late.seq, leaving.ID, latePingAt)
 	started := killed
 	if trouble {
 		node.Kill()
@@ -54,19 +62,25 @@
 		}
 		started = time.Now()
 	}
-	time.Sleep(time.Until(killed.Add(oldPingAt)))
+	if !node.AwaitAnnounce(5 * time.Second) {
+		return verdict(d, exitNotRun, "the node does not listen after its start")
+	}
+	time.Sleep(time.Until(killed.Add(vainDown)))
 	if status := oldPing.Send(); trouble && status != http.StatusOK {
 		return verdict(d, exitNotRun, "the node did not take the ping of the crashed boot: %d", status)
 	}
 	d.record.Note("the ping of the crashed boot has arrived")
-	time.Sleep(time.Until(killed.Add(leaveAt)))
+	time.Sleep(leaveWait)
 	if leaving.Leave() != http.StatusOK {
 		return verdict(d, exitNotRun, "the DELETE was not acknowledged")
 	}
 	acked := time.Now()
 	d.record.Note("the DELETE is acknowledged")
-	time.Sleep(time.Until(killed.Add(latePingAt)))
-	d.record.Note("ping %d of %s arrives: %d", late.seq, leaving.ID, late.Send())
+	time.Sleep(lateWait)
+	for _, ping := range late {
+		d.record.Note("ping %d of %s arrives %.1f s late: %d", ping.seq, leaving.ID, time.Since(ping.made).Seconds(), ping.Send())
+		time.Sleep(heartbeatInterval)
+	}
 	bound := acked.Add(drainTime)
 	if inTouch := started.Add(stableTime); trouble && inTouch.After(bound) {
 		bound = inTouch
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -238,17 +238,33 @@
 	return true
 }
 
-// StartAll starts all machines.
+// StartAll starts all machines for the first time.
 func (d *Deployment) StartAll() error {
 	for _, m := range d.machines {
-		if err := m.Start(); err != nil {
+		if err := m.StartFirst(); err != nil {
 			return err
 		}
-		m.bootstrap = false
 	}
 	return nil
 }
 
+// StartFirst starts the machine for the first time; Bootstrap is true only then.
+func (m *Machine) StartFirst() error {
+	defer func() { m.bootstrap = false }()
+	return m.Start()
+}
+
+// AwaitAnnounce waits until the address for announcements takes connections.
+func (m *Machine) AwaitAnnounce(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if conn, err := net.DialTimeout("tcp", m.Addr(portAnnounce), 100*time.Millisecond); err == nil {
+			conn.Close()
+			return true
+		}
+	}
+	return false
+}
+
 // Stop ends all processes that were started and removes the temporary folder.
 func (d *Deployment) Stop() {
 	for _, m := range d.machines {
