Hold memory for a response before it is read, and hold it once

Cause: the account learned of a response only when it was copied into the buffer of its connection. What the exchange with the backend server had read, up to 256 KiB for each request in flight, was not counted, and the copy doubled it. A gate counted no responses at all. Requests in flight beside header and body counted nothing.

Evidence: 16 requests ahead for 256 KiB each, with 4 MiB for all connections: TestLongResponsesTakeNoMemoryTwice, "unexpected EOF" before, as the connection was broken off for want of memory.

Now the part of one request in the account (resources.Memory) goes with the call, and the exchange asks it before it buffers. Without memory the body is passed on as the client reads it. A response that waits for its turn waits in its writer, which has it in memory anyway. Each request in flight counts 32 KiB.

--- a/internal/callerconn/misbehaving_test.go
+++ b/internal/callerconn/misbehaving_test.go
@@ -84,3 +84,21 @@
 	response, _ := receive(t, reader)
 	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
 }
+
+// TestLongResponsesTakeNoMemoryTwice sends requests ahead whose responses together are longer than what the connections may hold.
+// Each of them is in the memory of its handler already, so that all arrive whole.
+func TestLongResponsesTakeNoMemoryTwice(t *testing.T) {
+	const (
+		requests = maxParallel
+		memory   = 4 << 20
+	)
+	body := strings.Repeat("x", longResponse)
+	addr := startAccountedServer(t, memory, testTimeout, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	conn, reader := dial(t, addr)
+	send(t, conn, strings.Repeat(get("/"), requests))
+	for range requests {
+		response, received := receive(t, reader)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, body, received)
+	}
+}
--- a/internal/callerconn/response.go
+++ b/internal/callerconn/response.go
@@ -8,25 +8,23 @@
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// maxBufferedResponse is the number of bytes of a response that are buffered until the earlier responses have been sent.
-// Then its writer waits.
-const maxBufferedResponse = 256 << 10
+	"samphireflow/internal/resources"
+)
 
 // maxJoinedBody is the longest body that is copied behind its header, so that one write sends both.
 const maxJoinedBody = 16 << 10
 
-// response is the http.ResponseWriter of one request. It buffers the response until the responses to all earlier requests
-// of the connection have been sent.
+// response is the http.ResponseWriter of one request. It buffers a short response until the responses to all earlier requests
+// of the connection have been sent. The writer of a longer one waits for that with what it has in memory anyway.
 type response struct {
 	session *session
 	request *http.Request
 	// previousDone is closed when all earlier responses have been sent, done when this one has been sent.
 	previousDone chan struct{}
 	done         chan struct{}
-	// held is the memory of the request and the response, bufferHeld the part for buffer.
-	held       *heldMemory
+	// memory is that of the request and the response, bufferHeld the part of it for buffer.
+	memory     *resources.Memory
 	bufferHeld int
 	// closesConn is set if the connection closes after this response.
 	closesConn bool
@@ -63,7 +61,7 @@
 			w.closesConn = true
 		}
 	}
-	if err := w.flush(true); err != nil {
+	if err := w.send(nil, true); err != nil {
 		w.abort()
 		return
 	}
@@ -105,65 +103,70 @@
 	}
 }
 
-// Write buffers data. Once maxBufferedResponse is reached, it waits until all earlier responses have been sent and flushes.
+// Write buffers a little data, if there is memory for it. For more it waits until all earlier responses have been sent, and
+// sends what there is.
 func (w *response) Write(data []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
 	if w.writeErr != nil {
 		return 0, w.writeErr
 	}
-	if w.request.Method == http.MethodHead {
+	if w.request.Method == http.MethodHead || len(data) == 0 {
 		return len(data), nil
 	}
-	if more := w.buffer.Len() + len(data) - w.bufferHeld; more > 0 {
-		if w.writeErr = w.held.add(int64(more)); w.writeErr != nil {
-			w.buffer = bytes.Buffer{}
-			w.held.release()
-			return 0, w.writeErr
-		}
-		w.bufferHeld += more
-	}
-	w.buffer.Write(data)
-	if w.buffer.Len() < maxBufferedResponse {
-		return len(data), nil
+	if w.hasBuffer(w.buffer.Len() + len(data)) {
+		return w.buffer.Write(data)
 	}
 	select {
 	case <-w.previousDone:
+		w.writeErr = w.send(data, false)
 	case <-w.session.conn.Context().Done():
 		w.writeErr = io.ErrClosedPipe
-		return 0, w.writeErr
 	}
-	if w.writeErr = w.flush(false); w.writeErr != nil {
+	if w.writeErr != nil {
 		return 0, w.writeErr
 	}
 	return len(data), nil
 }
 
-// flush sends the buffered data. final is set if the response ends with it.
-func (w *response) flush(final bool) error {
+// hasBuffer reports whether a number of bytes may be buffered.
+func (w *response) hasBuffer(bytes int) bool {
+	if bytes > maxJoinedBody || bytes > w.bufferHeld && w.memory.Add(int64(bytes-w.bufferHeld)) != nil {
+		return false
+	}
+	w.bufferHeld = max(w.bufferHeld, bytes)
+	return true
+}
+
+// send sends what is buffered, and data behind it. final is set if the response ends with it.
+func (w *response) send(data []byte, final bool) error {
 	w.WriteHeader(http.StatusOK)
 	var out bytes.Buffer
 	if !w.headSent {
 		w.headSent = true
 		w.writeHead(&out, final)
 	}
-	switch {
-	case !w.chunked && w.buffer.Len() > maxJoinedBody:
+	length := w.buffer.Len() + len(data)
+	if w.chunked && length > 0 {
+		out.WriteString(strconv.FormatInt(int64(length), 16) + "\r\n")
+	}
+	// A write to a buffer cannot fail.
+	_, _ = w.buffer.WriteTo(&out)
+	if len(data) > maxJoinedBody {
 		if _, err := w.session.conn.Write(out.Bytes()); err != nil {
 			return err
 		}
-		_, err := w.buffer.WriteTo(w.session.conn)
-		return err
-	case !w.chunked:
-		w.buffer.WriteTo(&out)
-	default:
-		if w.buffer.Len() > 0 {
-			out.WriteString(strconv.FormatInt(int64(w.buffer.Len()), 16) + "\r\n")
-			w.buffer.WriteTo(&out)
-			out.WriteString("\r\n")
-		}
-		if final {
-			out.WriteString("0\r\n\r\n")
+		out.Reset()
+		if _, err := w.session.conn.Write(data); err != nil {
+			return err
 		}
+	} else {
+		out.Write(data)
+	}
+	if w.chunked && length > 0 {
+		out.WriteString("\r\n")
+	}
+	if w.chunked && final {
+		out.WriteString("0\r\n\r\n")
 	}
 	if out.Len() == 0 {
 		return nil
--- a/internal/callerconn/server_test.go
+++ b/internal/callerconn/server_test.go
@@ -17,6 +17,9 @@
 
 const testTimeout = 5 * time.Second
 
+// longResponse is the length of a response that is not sent in one write, in bytes.
+const longResponse = 256 << 10
+
 // startServer starts a server in which GET requests may be pipelined.
 func startServer(t *testing.T, handler http.HandlerFunc) (*Server, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -133,7 +136,7 @@
 func TestAbortedResponseIsIncomplete(t *testing.T) {
 	_, addr := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Length", "1000000")
-		_, _ = w.Write(make([]byte, 2*maxBufferedResponse))
+		_, _ = w.Write(make([]byte, 2*longResponse))
 		panic(http.ErrAbortHandler)
 	})
 	conn, reader := dial(t, addr)
@@ -145,7 +148,7 @@
 }
 
 func TestResponseOfUnknownLengthIsChunked(t *testing.T) {
-	long := strings.Repeat("0123456789", maxBufferedResponse/5)
+	long := strings.Repeat("0123456789", longResponse/5)
 	_, addr := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		for i := 0; i < len(long); i += 1000 {
 			_, _ = io.WriteString(w, long[i:min(i+1000, len(long))])
--- a/internal/callerconn/session.go
+++ b/internal/callerconn/session.go
@@ -151,18 +151,22 @@
 		s.rejectUnreadable(err)
 		return false
 	}
-	held := &heldMemory{conn: s.conn.account, bytes: s.limit.held}
+	memory := s.conn.account.NewMemory(s.limit.held)
 	s.limit.held = 0
 	s.begin()
 	end := func() {
-		held.release()
+		memory.Release()
 		<-s.inFlightSlots
 		s.end()
 	}
+	r = r.WithContext(resources.WithMemory(r.Context(), memory))
 	if r.Body != nil && r.Body != http.NoBody {
-		r.Body = &body{ReadCloser: r.Body, held: held}
+		r.Body = &body{ReadCloser: r.Body, conn: s.conn.account, memory: memory}
+	}
+	buffered := false
+	if err = memory.AddRequest(); err == nil {
+		buffered, err = s.bufferBody(r)
 	}
-	buffered, err := s.bufferBody(r)
 	if errors.Is(err, resources.ErrNoMemory) {
 		end()
 		s.rejectUnreadable(err)
@@ -174,7 +178,7 @@
 		end()
 		return false
 	}
-	w.held = held
+	w.memory = memory
 	s.inFlight.Add(1)
 	handle := func() {
 		defer s.inFlight.Done()
--- a/internal/calls/body.go
+++ b/internal/calls/body.go
@@ -77,7 +77,8 @@
 		return
 	}
 	if err == nil {
-		_, err = io.Copy(w, response.Rest)
+		// The writer's own way of copying would take another buffer.
+		_, err = io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{response.Rest}, make([]byte, response.PieceBytes))
 	}
 	closeErr := response.Rest.Close()
 	if err != nil || closeErr != nil {
--- a/internal/calls/call.go
+++ b/internal/calls/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphireflow/internal/exchange"
+	"samphireflow/internal/resources"
 )
 
 // Call is one call of a caller to a backend server.
@@ -38,6 +39,8 @@
 	LongResponse bool
 	// HoldBody is that of the request to the backend server.
 	HoldBody func(length int64) bool
+	// Memory is what the call holds of the account of its connection.
+	Memory *resources.Memory
 	// Priority is the priority of the call; 0 is the highest.
 	Priority int
 	// Objective is the time by which the response should arrive: the start of the call plus the route's latency objective.
@@ -61,6 +64,7 @@
 		EchoHeader:   echo,
 		FreshConn:    !c.Idempotent,
 		HoldBody:     c.HoldBody,
+		Reserve:      c.Memory.Add,
 	}
 }
 
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -13,6 +13,12 @@
 // maxBufferedBody is the longest response body that is buffered. The rest of a longer body is streamed.
 const maxBufferedBody = 256 << 10
 
+// The rest of a long response is passed on in pieces of maxPieceBytes, or of minPieceBytes without memory for these.
+const (
+	maxPieceBytes = 64 << 10
+	minPieceBytes = 4 << 10
+)
+
 // Client sends requests over persistent connections. It is safe for concurrent use.
 type Client struct {
 	dial dialFunc
@@ -121,28 +127,38 @@
 	return e.readBody(response)
 }
 
-// readBody reads the body of a response up to maxBufferedBody, or whole if it is to be held. What follows becomes Rest.
+// readBody reads the body of a response up to maxBufferedBody, or whole if it is to be held, as far as there is memory for it.
+// What follows becomes Rest.
 func (e *activeExchange) readBody(received *http.Response) (*Response, error) {
 	response := &Response{Status: received.StatusCode, Header: received.Header, Length: received.ContentLength}
 	if hasNoBody(e.request.Method, received.StatusCode) {
 		e.complete(received)
 		return response, nil
 	}
-	limit := e.bufferLimit(received.ContentLength)
-	body, err := io.ReadAll(io.LimitReader(received.Body, limit+1))
+	start := bodyBuffer{limit: e.bufferLimit(received.ContentLength), reserve: e.request.Reserve}
+	whole, err := start.fill(received.Body, received.ContentLength)
 	if err != nil {
 		return nil, err
 	}
-	response.Body = body
-	if int64(len(body)) <= limit {
-		response.Length = int64(len(body))
+	response.Body = start.data
+	if whole {
+		response.Length = int64(len(start.data))
 		e.complete(received)
 		return response, nil
 	}
 	response.Rest = &restReader{exchange: e, response: received}
+	response.PieceBytes = minPieceBytes
+	if e.reserve(maxPieceBytes) {
+		response.PieceBytes = maxPieceBytes
+	}
 	return response, nil
 }
 
+// reserve takes memory for the response. It reports false if there is none.
+func (e *activeExchange) reserve(bytes int64) bool {
+	return e.request.Reserve == nil || e.request.Reserve(bytes) == nil
+}
+
 // bufferLimit returns the length up to which a body is buffered, by the length that the header tells.
 func (e *activeExchange) bufferLimit(length int64) int64 {
 	if length > maxBufferedBody && e.request.HoldBody != nil && e.request.HoldBody(length) {
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"samphireflow/internal/calls"
+	"samphireflow/internal/resources"
 )
 
 // forwardedCall is a call that another node forwards to this gate.
@@ -72,6 +73,7 @@
 		Deadline:   now.Add(metadata.Deadline),
 
 		LongResponse: metadata.LongResponse,
+		Memory:       resources.MemoryOf(r.Context()),
 	}
 	body.AssignTo(call)
 	return &forwardedCall{call: call, instance: metadata.Server, finishBy: now.Add(metadata.FinishBy)}, nil
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -151,6 +151,7 @@
 		Deadline:   arrived.Add(timeout),
 
 		LongResponse: route.Settings.LongResponses,
+		Memory:       resources.MemoryOf(r.Context()),
 	}
 	if caller != nil {
 		c.Customer = caller.Name
--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -5,6 +5,9 @@
 const (
 	// connCost is the memory of a connection without a request, in bytes: its buffers and the stacks of its goroutines.
 	connCost = 16 << 10
+	// requestCost is the memory of a request in flight beside its header and body, in bytes: the stacks of its goroutines, its
+	// copies of the header, and the buffers of the connection to the backend server.
+	requestCost = 32 << 10
 	// fieldCost is the memory of a header field, in bytes, beside its text: its entries in the maps of the request and of the
 	// copies that are made of them.
 	fieldCost = 384
--- /dev/null
+++ b/internal/resources/memory.go
@@ -0,0 +1,66 @@
+package resources
+
+import (
+	"context"
+	"sync"
+)
+
+// Memory is what one request and its response hold of the account of their connection. It is safe for concurrent use. A nil
+// *Memory has no account: its methods do nothing.
+type Memory struct {
+	conn *Conn
+
+	mu       sync.Mutex
+	bytes    int64
+	released bool
+}
+
+// NewMemory returns the memory of a request, of which the connection already holds a number of bytes.
+func (c *Conn) NewMemory(bytes int64) *Memory {
+	return &Memory{conn: c, bytes: bytes}
+}
+
+// Add takes bytes before they are allocated. It returns ErrNoMemory if there is no room for them: then nothing is taken.
+func (m *Memory) Add(bytes int64) error {
+	if m == nil || m.conn == nil || bytes == 0 {
+		return nil
+	}
+	if err := m.conn.Hold(bytes); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.released {
+		_ = m.conn.Hold(-bytes)
+		return ErrNoMemory
+	}
+	m.bytes += bytes
+	return nil
+}
+
+// AddRequest takes the memory of a request in flight beside its header and body.
+func (m *Memory) AddRequest() error { return m.Add(requestCost) }
+
+// Release gives back all that was taken, at the end of the request.
+func (m *Memory) Release() {
+	if m == nil || m.conn == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.conn.Hold(-m.bytes)
+	m.bytes, m.released = 0, true
+}
+
+type memoryKey struct{}
+
+// WithMemory adds the memory of a request to its context.
+func WithMemory(ctx context.Context, m *Memory) context.Context {
+	return context.WithValue(ctx, memoryKey{}, m)
+}
+
+// MemoryOf returns the memory of the request that a context belongs to, nil if it has no account.
+func MemoryOf(ctx context.Context) *Memory {
+	m, _ := ctx.Value(memoryKey{}).(*Memory)
+	return m
+}
--- a/internal/resources/server.go
+++ b/internal/resources/server.go
@@ -61,39 +61,32 @@
 		conn, _ := r.Context().Value(connKey{}).(*Conn)
 		conn.Run(1)
 		defer conn.Run(-1)
-		if r.ProtoMajor >= 2 {
-			weight := requestWeight(r)
-			if conn.Hold(weight) != nil {
-				http.Error(w, ErrNoMemory.Error(), http.StatusServiceUnavailable)
-				return
-			}
-			defer func() { _ = conn.Hold(-weight) }()
-		}
-		if r.Body == nil || r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
+		memory := conn.NewMemory(0)
+		defer memory.Release()
+		http2 := r.ProtoMajor >= 2
+		if memory.AddRequest() != nil || http2 && memory.Add(requestWeight(r)) != nil {
+			http.Error(w, ErrNoMemory.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		// Otherwise the server reads the body to its end within the first write of the handler, and a client that stops
-		// short would seem to wait for the process. Writers without connections of their own do not support it.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-		body := &body{ReadCloser: r.Body, conn: conn, limit: class.MaxBody}
-		defer body.release()
 		// The server looks at the body of its own request when the handler has returned.
-		counted := *r
-		counted.Body = body
-		next.ServeHTTP(w, &counted)
+		counted := r.WithContext(WithMemory(r.Context(), memory))
+		if r.Body != nil && r.Body != http.NoBody {
+			// Otherwise the server reads the body to its end within the first write of the handler, and a client that stops
+			// short would seem to wait for the process. Writers without connections of their own do not support it.
+			_ = http.NewResponseController(w).EnableFullDuplex()
+			counted.Body = &body{ReadCloser: r.Body, conn: conn, memory: memory, limit: class.MaxBody}
+		}
+		next.ServeHTTP(w, counted)
 	})
 }
 
 // body is the body of a request. It holds memory for what its handler has read, up to a limit.
 type body struct {
 	io.ReadCloser
-	conn  *Conn
-	limit int64
-
-	mu   sync.Mutex
-	read int64
-	held int64
+	conn   *Conn
+	memory *Memory
+	limit  int64
+	read   int64
 }
 
 // Read returns ErrNoMemory if there is no room for more.
@@ -101,21 +94,11 @@
 	b.conn.Run(-1)
 	n, err := b.ReadCloser.Read(buffer)
 	b.conn.Run(1)
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	more := min(int64(n), max(b.limit-b.read, 0)) * textCopies
 	b.conn.Widen(b.read, b.read+int64(n))
 	b.read += int64(n)
-	if refused := b.conn.Hold(more); refused != nil {
+	if refused := b.memory.Add(more); refused != nil {
 		return 0, refused
 	}
-	b.held += more
 	return n, err
 }
-
-func (b *body) release() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	_ = b.conn.Hold(-b.held)
-	b.held = 0
-}
