Count what a closed connection held until its owner has ended

Cause: a connection that was closed to make room, or by its client, gave back its memory in the account at once, while its requests still ran and its buffers were in use. The next wave was given the same memory again.

Now Shut closes and Close ends: a closed connection counts until its session, or the server of its connection, has ended. A quarter of the memory may be lent on what closed connections hold, so that newcomers need not wait for leaving crowds.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -187,6 +187,9 @@
 	return err
 }
 
+// end gives back what the connection holds in its account. It is called when its session has ended.
+func (c *Conn) end() { c.account.End() }
+
 // CloseWrite closes the sending direction, as net/http does before it closes a connection with unread requests. A
 // connection without that ability is closed.
 func (c *Conn) CloseWrite() error {
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -78,6 +78,7 @@
 		go func() {
 			defer s.sessionGroup.Done()
 			opened.run()
+			opened.conn.end()
 			s.mu.Lock()
 			delete(s.sessions, opened)
 			s.mu.Unlock()
--- a/internal/resources/account.go
+++ b/internal/resources/account.go
@@ -7,9 +7,11 @@
 
 // classUsage is what the connections of one class hold.
 type classUsage struct {
-	class   Class
-	conns   int
-	held    int64
+	class Class
+	conns int
+	held  int64
+	// ending is the part of held that belongs to connections that were closed and whose owners have not ended yet.
+	ending  int64
 	refused Refusals
 }
 
@@ -27,6 +29,9 @@
 // clients that hold most for longest without progress lose their connections first; a client that waits for its response
 // keeps it, however long that takes. Each class of listeners has a share that the other classes cannot take, and a part of the
 // memory is kept for connections that hold little.
+//
+// Invariant: what a connection holds counts until its owner has ended, also if it was closed before. Otherwise crowds that come
+// again at once would be given the memory of those before them while these still use it.
 type Account struct {
 	limits Limits
 
@@ -50,7 +55,7 @@
 	defer a.mu.Unlock()
 	c := a.class(class)
 	var victims []*Entry
-	for !a.hasDescriptor(c) || !a.hasMemory(c, connCost, connCost) {
+	for !a.hasDescriptor(c) || !a.hasMemory(c, connCost, connCost, c.ending) {
 		victim := a.pick(c, now)
 		if victim == nil {
 			c.refused.Connections++
@@ -59,6 +64,10 @@
 		c.refused.Displaced++
 		victims = append(victims, victim)
 	}
+	if !a.hasMemory(c, connCost, connCost, a.lent(c)) {
+		c.refused.Connections++
+		return nil, victims
+	}
 	e := &Entry{class: c, close: closeConn, held: connCost, progressAt: now}
 	a.entries[e] = struct{}{}
 	c.conns++
@@ -72,10 +81,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e.closed {
+		if bytes < 0 && !e.ended {
+			e.class.held += bytes
+			e.class.ending += bytes
+			e.held += bytes
+		}
 		return false, nil
 	}
 	var victims []*Entry
-	for bytes > 0 && !a.hasMemory(e.class, e.held+bytes, bytes) {
+	for bytes > 0 && !a.hasMemory(e.class, e.held+bytes, bytes, e.class.ending) {
 		victim := a.pick(e.class, now)
 		if victim == nil {
 			e.class.refused.Requests++
@@ -87,16 +101,34 @@
 			return false, victims
 		}
 	}
+	if bytes > 0 && !a.hasMemory(e.class, e.held+bytes, bytes, a.lent(e.class)) {
+		e.class.refused.Requests++
+		return false, victims
+	}
 	e.held += bytes
 	e.class.held += bytes
 	return true, victims
 }
 
-// Close removes a connection.
+// Shut records that a connection is closed. What it holds still counts.
+func (a *Account) Shut(e *Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.remove(e)
+}
+
+// Close removes a connection and all that it holds: its owner has ended.
 func (a *Account) Close(e *Entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if e.ended {
+		return
+	}
 	a.remove(e)
+	e.ended = true
+	e.class.held -= e.held
+	e.class.ending -= e.held
+	e.held = 0
 }
 
 // Sweep returns the connections that have reached their end, which are to be closed.
@@ -213,8 +245,14 @@
 	return used <= float64(a.limits.Descriptors)
 }
 
-// hasMemory reports whether a class may hold further bytes for a connection that then holds the given number in all.
-func (a *Account) hasMemory(c *classUsage, held, bytes int64) bool {
+// lent returns the part of what closed connections of a class hold that may be given to others before it is given back.
+func (a *Account) lent(c *classUsage) int64 {
+	return min(c.ending, int64(lentShare*float64(a.limits.Memory)))
+}
+
+// hasMemory reports whether a class may hold further bytes for a connection that then holds the given number in all. What is
+// returned does not count to what the class holds.
+func (a *Account) hasMemory(c *classUsage, held, bytes, returned int64) bool {
 	available := float64(a.limits.Memory)
 	for _, other := range a.classes {
 		if other != c {
@@ -224,7 +262,7 @@
 	if held > smallBytes {
 		available *= 1 - smallShare
 	}
-	return float64(c.held+bytes) <= available
+	return float64(c.held-returned+bytes) <= available
 }
 
 // pick removes the connection of a class that is closed first, and returns it; nil if none may be closed.
@@ -252,6 +290,5 @@
 	e.closed = true
 	delete(a.entries, e)
 	e.class.conns--
-	e.class.held -= e.held
-	e.held = 0
+	e.class.ending += e.held
 }
--- a/internal/resources/conn.go
+++ b/internal/resources/conn.go
@@ -66,12 +66,19 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. What the connection holds counts until End.
 func (c *Conn) Close() error {
-	c.keeper.account.Close(c.entry)
+	c.keeper.account.Shut(c.entry)
 	return c.Conn.Close()
 }
 
+// End gives back all that the connection holds. Its owner calls it when it has ended.
+func (c *Conn) End() {
+	if c != nil {
+		c.keeper.account.Close(c.entry)
+	}
+}
+
 // CloseWrite closes the sending direction.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/resources/entry.go
+++ b/internal/resources/entry.go
@@ -21,7 +21,8 @@
 	// progressAt is the time of the last progress of the client, and moved the number of bytes since then.
 	progressAt time.Time
 	moved      int
-	closed     bool
+	// closed is set once the connection is closed, ended once its owner has ended and it holds nothing.
+	closed, ended bool
 }
 
 // stalled returns the time for which the client has made no progress although it is its turn.
--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -41,6 +41,9 @@
 	// is kept for connections that hold no more: ordinary requests fit.
 	smallBytes = 96 << 10
 	smallShare = 0.25
+	// lentShare is the share of the memory that closed connections hold and that is given to others before they have ended, which
+	// takes moments.
+	lentShare = 0.25
 	// ownShare is the share of the descriptors that is kept for the process itself: its files and the connections that it opens.
 	ownShare = 0.2
 
--- a/internal/resources/server.go
+++ b/internal/resources/server.go
@@ -50,7 +50,10 @@
 			counter.reset()
 		}
 		c.Idle()
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
+		delete(h.heads, c)
+		c.End()
+	case http.StateHijacked:
 		delete(h.heads, c)
 	}
 }
