Take the slots of calls whose clients have stopped while others find none

What callers saw: while a crowd reads nothing of responses that are not buffered whole, ordinary callers wait for many seconds: the crowd's calls hold all slots of the backend server.

Cause: a response that is passed on as its client reads keeps its slot, and a client that has stopped keeps its connection for 15 s as long as there is memory and descriptors. Nothing made room for slots.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -75,6 +75,7 @@
 	// current is the incarnation of the backend server that the queue belongs to.
 	current serverIncarnation
 	queue   *Queue
+	running runningCalls
 	// nextTrial is the time from which the open circuit breaker lets the next trial call through.
 	nextTrial time.Time
 	// breakerOpen is set from the first failed connection attempt until the next response or the next incarnation.
@@ -190,6 +191,9 @@
 	if decision.Action != Run {
 		return g.queueRefusal(ctx, decision)
 	}
+	g.mu.Lock()
+	g.running.add(c)
+	g.mu.Unlock()
 	// While the call waited, the backend server may have started to drain, or another instance may have replaced it.
 	_, refused := g.resolveServer(server.instance)
 	if refused == nil {
@@ -314,6 +318,9 @@
 	now := g.options.Now()
 	decision := queue.Admit(entry, now)
 	g.mu.Unlock()
+	if decision.Action != Run {
+		g.displaceStalled()
+	}
 	if decision.Action != Wait {
 		return queue, decision
 	}
@@ -389,6 +396,7 @@
 func (g *Gate) release(queue *Queue, c *calls.Call, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.running.remove(c)
 	if c.Inner {
 		queue.ReleaseInner(c.Route, latency, g.options.Now())
 		return
--- a/internal/resources/account.go
+++ b/internal/resources/account.go
@@ -148,6 +148,19 @@
 	return ended
 }
 
+// DisplaceStalled closes a connection whose client has made no progress for as long as it takes to be closed for others. It
+// reports whether it did.
+func (a *Account) DisplaceStalled(e *Entry, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e.closed || !e.inRequest || e.stalled(now) < pressureStall {
+		return false
+	}
+	e.class.refused.Displaced++
+	a.remove(e)
+	return true
+}
+
 // Begin records that a request begins, if none is in progress.
 func (a *Account) Begin(e *Entry, now time.Time) {
 	a.mu.Lock()
--- a/internal/resources/memory.go
+++ b/internal/resources/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Memory is what one request and its response hold of the account of their connection. It is safe for concurrent use. A nil
@@ -52,6 +53,17 @@
 	m.bytes, m.released = 0, true
 }
 
+// DisplaceStalled closes the connection if its client has made no progress for as long as it takes to be closed for others.
+// It is called when the request has something else than memory that others wait for.
+func (m *Memory) DisplaceStalled() {
+	if m == nil || m.conn == nil {
+		return
+	}
+	if m.conn.keeper.account.DisplaceStalled(m.conn.entry, time.Now()) {
+		m.conn.entry.close()
+	}
+}
+
 type memoryKey struct{}
 
 // WithMemory adds the memory of a request to its context.
