Bound what the kernel keeps for connections, unsent and unread

What callers saw: nothing yet; the machine pays. The kernel kept up to megabytes of unread response for each connection of a crowd, and as much unread at the connections to backend servers and gates.

Cause: only receive buffers of listeners were bounded. Send buffers, and receive buffers of connections that a process opens, grow by themselves to several megabytes each.

Now send buffers are bounded at the listening socket and receive buffers at the dialled one. A long response gets larger ones if there is memory, for which the connection or the request holds it.

--- a/internal/daemon/drain_listener.go
+++ b/internal/daemon/drain_listener.go
@@ -35,7 +35,7 @@
 	}
 	tcp := listener.(*net.TCPListener)
 	// Not every system supports it; then its own bounds hold.
-	_ = resources.LimitReadBuffers(tcp)
+	_ = resources.LimitBuffers(tcp)
 	return &drainListener{TCPListener: tcp, closed: make(chan struct{})}, nil
 }
 
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -135,6 +135,9 @@
 		e.complete(received)
 		return response, nil
 	}
+	if received.ContentLength > longReadBuffer && e.reserve(longReadBuffer) {
+		e.conn.widen()
+	}
 	start := bodyBuffer{limit: e.bufferLimit(received.ContentLength), reserve: e.request.Reserve}
 	whole, err := start.fill(received.Body, received.ContentLength)
 	if err != nil {
@@ -178,6 +181,7 @@
 		default:
 		}
 	}
+	e.conn.narrow()
 	now := time.Now()
 	if e.stopWatch() && bodySent && e.conn.markIdle(response, now) {
 		e.client.pool.put(e.conn, now)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -45,6 +45,8 @@
 	peerIdleTimeout time.Duration
 	// codec is nil if header fields are not compressed.
 	codec *headerCodec
+	// wide is set while the receive buffer has longReadBuffer bytes.
+	wide bool
 }
 
 // limitReader bounds the length of a header. A read fails if it begins after remaining bytes have been read, so a header
@@ -142,6 +144,20 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// widen enlarges the receive buffer for a long response. Without the larger one the response takes longer.
+func (c *conn) widen() {
+	if tcp, ok := c.netConn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		c.wide = tcp.SetReadBuffer(longReadBuffer) == nil
+	}
+}
+
+// narrow undoes widen.
+func (c *conn) narrow() {
+	if tcp, ok := c.netConn.(interface{ SetReadBuffer(bytes int) error }); ok && c.wide {
+		c.wide = tcp.SetReadBuffer(readBuffer) != nil
+	}
+}
+
 // markIdle records the end of an exchange and reports whether the connection can be reused.
 func (c *conn) markIdle(response *http.Response, now time.Time) bool {
 	if response.Close || c.reader.Buffered() > 0 {
--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -20,6 +20,10 @@
 	keepAliveIdle = time.Second
 	// keepAliveCount is the number of unanswered probes after which the connection is closed.
 	keepAliveCount = 2
+	// readBuffer is the size of the kernel's receive buffer, in bytes, and longReadBuffer that while a long response is read, if
+	// there is memory for it. What waits there while a caller does not read counts to the instance's memory.
+	readBuffer     = 32 << 10
+	longReadBuffer = 128 << 10
 )
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -33,6 +37,9 @@
 			var failure error
 			err := raw.Control(func(fd uintptr) {
 				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+				if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readBuffer); failure == nil {
+					failure = err
+				}
 			})
 			if err != nil {
 				return err
--- a/internal/resources/conn.go
+++ b/internal/resources/conn.go
@@ -23,6 +23,8 @@
 	// connection.
 	onRead func(data []byte) error
 	widen  sync.Once
+	// widenWrites enlarges the send buffer once.
+	widenWrites sync.Once
 }
 
 // ConnOf returns the connection of an account that is beneath another one, nil if there is none.
@@ -51,6 +53,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
+	if len(data) > writeBuffer {
+		c.widenWriteBuffer()
+	}
 	written := 0
 	for {
 		part := data[written:min(written+maxWrite, len(data))]
@@ -123,6 +128,17 @@
 	})
 }
 
+// widenWriteBuffer enlarges the send buffer of a connection with a long response, if there is memory for it.
+func (c *Conn) widenWriteBuffer() {
+	c.widenWrites.Do(func() {
+		tcp, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error })
+		if ok && c.Hold(longWriteBuffer) == nil {
+			// Without the larger buffer the response takes longer.
+			_ = tcp.SetWriteBuffer(longWriteBuffer)
+		}
+	})
+}
+
 // Begin records that a request begins whose first bytes have been read before.
 func (c *Conn) Begin() {
 	if c != nil {
--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// connCost is the memory of a connection without a request, in bytes: its buffers and the stacks of its goroutines.
-	connCost = 16 << 10
+	// connCost is the memory of a connection without a request, in bytes: its buffers, those of the kernel among them, and the
+	// stacks of its goroutines.
+	connCost = 32 << 10
 	// requestCost is the memory of a request in flight beside its header and body, in bytes: the stacks of its goroutines, its
 	// copies of the header, and the buffers of the connection to the backend server.
 	requestCost = 32 << 10
@@ -18,6 +19,10 @@
 	// long body, which would be slow otherwise over a link of long delay. What waits there counts to the instance's memory.
 	readBuffer     = 8 << 10
 	longBodyBuffer = 64 << 10
+	// writeBuffer is the size of the kernel's send buffer of a connection, in bytes, and longWriteBuffer that of one with a
+	// long response, for which the connection holds memory.
+	writeBuffer     = 16 << 10
+	longWriteBuffer = 128 << 10
 	// longBody is the length of a body from which it counts as long.
 	longBody = 32 << 10
 
--- a/internal/resources/listener.go
+++ b/internal/resources/listener.go
@@ -8,15 +8,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// LimitReadBuffers bounds what the kernel keeps unread for each connection that a listener will accept, also for those that wait
-// to be accepted.
-func LimitReadBuffers(l syscall.Conn) error {
+// LimitBuffers bounds what the kernel keeps, unread or unsent, for each connection that a listener will accept, also for those
+// that wait to be accepted.
+func LimitBuffers(l syscall.Conn) error {
 	control, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var failed error
-	err = control.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readBuffer) })
+	err = control.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readBuffer)
+		if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, writeBuffer); failed == nil {
+			failed = err
+		}
+	})
 	if err != nil {
 		return err
 	}
--- a/test/hostile/deployment_test.go
+++ b/test/hostile/deployment_test.go
@@ -72,6 +72,8 @@
 	processes map[int]*process
 	announced atomic.Int64
 	backend   string
+	// ran holds the IDs of the requests that the backend server has begun to run.
+	ran sync.Map
 }
 
 // process is a running daemon. ended is closed when it has ended.
@@ -127,11 +129,24 @@
 
 // startDeployment starts a deployment and waits until it serves calls.
 func startDeployment(t *testing.T, maxFds int) *deployment {
+	d := startInstances(t, maxFds)
+	d.configure()
+	return d
+}
+
+// startInstances starts the processes of a deployment without a configuration.
+func startInstances(t *testing.T, maxFds int) *deployment {
 	d := &deployment{t: t, maxFds: maxFds, dir: t.TempDir(), processes: map[int]*process{}}
-	d.backend = startBackend(t)
+	d.backend = startBackend(t, &d.ran)
 	d.start(controlInstance, fmt.Sprintf("Serves = [\"control_plane\"]\nDataDir = %q", filepath.Join(d.dir, "data")))
 	d.start(attackedNode, "Serves = [\"sidecar\"]\nService = \"rota\"")
 	d.start(otherNode, "Serves = [\"sidecar\"]\nService = \"other\"")
+	return d
+}
+
+// configure sends the first configuration, lets the backend server announce itself and waits until calls are served.
+func (d *deployment) configure() {
+	t := d.t
 	require.True(t, d.waitFor(func() bool {
 		return call("PUT", addrOf(controlInstance, controlPort), "/-/config", configDocument, "If-Match", "00000000", "Content-Type", "application/json") == 200
 	}), "the configuration is accepted")
@@ -151,7 +166,6 @@
 	for _, node := range []int{attackedNode, otherNode} {
 		require.True(t, d.waitFor(func() bool { return ordinaryCall(node) }), "calls are served before the crowd comes")
 	}
-	return d
 }
 
 const configDocument = `{"Version":"00000004","Routes":{"Columns":["Name","Host","PathPrefix","Kind","TimeoutS","TargetLatencyS","Priority","Service","MaxAttempts"],"Rows":[` +
@@ -272,13 +286,15 @@
 // largeResponseBytes is the length of the backend server's responses below /read/large.
 const largeResponseBytes = 100 << 10
 
-// startBackend starts a backend server as the platform has them and returns its address.
-func startBackend(t *testing.T) string {
+// startBackend starts a backend server as the platform has them and returns its address. It stores the IDs of the requests that
+// it runs.
+func startBackend(t *testing.T, ran *sync.Map) string {
 	listener, err := net.Listen("tcp", net.JoinHostPort(ipOf(attackedNode), "0"))
 	require.NoError(t, err)
 	large := strings.Repeat("x", largeResponseBytes)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		ran.Store(r.Header.Get("X-Attempt-Id"), true)
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -286,6 +302,11 @@
 		if strings.HasPrefix(r.RequestURI, "/read/large") {
 			_, _ = io.WriteString(w, large)
 		}
+		if length, found := strings.CutPrefix(r.RequestURI, "/read/bytes/"); found {
+			n, _ := strconv.ParseInt(length, 10, 64)
+			w.Header().Set("Content-Length", length)
+			_, _ = io.CopyN(w, zeros{}, n)
+		}
 	})}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
--- a/test/hostile/good_caller_test.go
+++ b/test/hostile/good_caller_test.go
@@ -56,3 +56,35 @@
 		require.Less(t, peak.residentMB+peak.unreadMB, memoryMB, "memory in MB of instance %d", i)
 	}
 }
+
+// TestLongResponseReadSlowlyInCalm reads a single response of several megabytes in small parts with pauses, at the node beside
+// the backend server and at another one.
+func TestLongResponseReadSlowlyInCalm(t *testing.T) {
+	d := startDeployment(t, manyFds)
+	g := d.watch()
+	const partBytes = 64 << 10
+	patient := &http.Client{Timeout: eventTimeout, Transport: &http.Transport{ReadBufferSize: smallWindow}}
+	for _, node := range []int{attackedNode, otherNode} {
+		request, err := http.NewRequest(http.MethodGet, "http://"+addrOf(node, outboundPort)+longPath(2*megabytesLong), nil)
+		require.NoError(t, err)
+		request.Host = "rota.example"
+		request.Header.Set("X-Attempt-Id", "1")
+		request.Header.Set("X-Deadline-Ms", "60000")
+		response, err := patient.Do(request)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		read := 0
+		for part := make([]byte, partBytes); ; {
+			n, err := io.ReadFull(response.Body, part)
+			read += n
+			if err != nil {
+				break
+			}
+			time.Sleep(pollInterval)
+		}
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, 2*megabytesLong, read)
+	}
+	d.requireAlive()
+	g.check()
+}
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -23,10 +23,12 @@
 }
 
 // gateFields returns the compressed fields of a call that another node forwards to the gate.
-func gateFields() string {
+func gateFields() string { return gateFieldsFor("book", "/book/1") }
+
+func gateFieldsFor(route, path string) string {
 	header := http.Header{}
-	calls.HopMetadata{Server: "i-2", Route: "book", Objective: time.Minute, Deadline: time.Minute, FinishBy: time.Minute}.Write(header)
-	return hop.HeaderName + ": " + hop.NewEncoder().Encode(hop.Fields{Target: "/book/1", Host: "rota.example", Header: header}) + "\r\n"
+	calls.HopMetadata{Server: "i-2", Route: route, Objective: time.Minute, Deadline: time.Minute, FinishBy: time.Minute}.Write(header)
+	return hop.HeaderName + ": " + hop.NewEncoder().Encode(hop.Fields{Target: path, Host: "rota.example", Header: header}) + "\r\n"
 }
 
 func places() []place {
--- a/test/hostile/usage_test.go
+++ b/test/hostile/usage_test.go
@@ -32,27 +32,40 @@
 }
 
 func startSampler(pid int, ip string) *usageSampler {
-	s := &usageSampler{pid: pid, ip: ip, stop: make(chan struct{})}
+	s := newUsageSampler(pid, ip)
+	s.start(s.sample)
+	return s
+}
+
+func newUsageSampler(pid int, ip string) *usageSampler {
+	return &usageSampler{pid: pid, ip: ip, stop: make(chan struct{})}
+}
+
+// start calls sample again and again until finish is called.
+func (s *usageSampler) start(sample func()) {
 	// Sets the peak of the resident memory, VmHWM, back to the present value; see proc_pid_clear_refs(5).
-	_ = os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", pid), []byte("5"), 0)
+	_ = os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", s.pid), []byte("5"), 0)
 	s.done.Go(func() {
 		for {
-			s.sample()
+			sample()
 			select {
 			case <-s.stop:
+				sample()
 				return
 			case <-time.After(pollInterval):
 			}
 		}
 	})
-	return s
 }
 
-// end stops the sampling and returns the peaks.
-func (s *usageSampler) end() usage {
+func (s *usageSampler) finish() {
 	close(s.stop)
 	s.done.Wait()
-	s.sample()
+}
+
+// end stops the sampling and returns the peaks.
+func (s *usageSampler) end() usage {
+	s.finish()
 	return s.peak
 }
 
@@ -64,7 +77,9 @@
 	}
 }
 
-func peakResidentMB(pid int) int {
+func peakResidentMB(pid int) int { return peakResidentKB(pid) >> 10 }
+
+func peakResidentKB(pid int) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
@@ -72,7 +87,7 @@
 	for line := range strings.SplitSeq(string(text), "\n") {
 		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
 			kilobytes, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(value, "kB")))
-			return kilobytes >> 10
+			return kilobytes
 		}
 	}
 	return 0
