HTTP/2 without TLS only at control addresses, and bounded there

Cause: every address but callers' and the gate's took HTTP/2, though only instances of the system speak it, to control addresses. net/http's defaults keep a megabyte of bodies and of a frame and 10,000 replies to pings for a connection; a response whose client gives no window counted as work of the process, so that its connection was never closed; a refusal for want of memory itself waited for the client; what the server sent after the handler had returned was not counted.

At control addresses a connection counts 64 KiB from the first bytes of HTTP/2 on, frames, windows and tables have the least sizes, 32 requests run at a time, a request without memory is reset, a stream that waits for its window is the client's turn, and nothing is read while a write waits for the client. Headers at addresses that are not for calls are limited to 32 KiB.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,7 +201,7 @@
 	group.Go(func() error { return d.serve(running, resources.Admin, d.settings.AdminAddr, d.adminHandler()) })
 	group.Go(func() error {
 		handler := d.rpcBytes.Handler(tracing.TracedOnly("control", d.controlHandler()))
-		return d.serveCounted(running, resources.Control, d.settings.ControlAddr, handler, d.rpcBytes.Listener)
+		return d.serveInstances(running, resources.Control, d.settings.ControlAddr, handler, d.rpcBytes.Listener)
 	})
 	group.Go(func() error { return d.connections.Run(running) })
 	if d.control != nil {
--- a/internal/daemon/gated_traffic.go
+++ b/internal/daemon/gated_traffic.go
@@ -130,7 +130,7 @@
 	callerListener.kept = d.connections.Listener(callerListener.listener, resources.Callers)
 	gateServer := &http.Server{
 		Handler: hop.Handler(d.gatedTraffic.gate, d.logger), ConnContext: hop.ConnContext,
-		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 	}
 	gateListener, err := newListeningServer("gate", d.settings.GateAddr, gateServer)
 	if err != nil {
--- a/internal/daemon/header_limit.go
+++ b/internal/daemon/header_limit.go
@@ -7,7 +7,7 @@
 	"samphireflow/internal/proxy"
 )
 
-// maxCallHeaderBytes is the largest accepted header of a call. It is below maxHeaderBytes, above which net/http responds
+// maxCallHeaderBytes is the largest accepted header of a call. It is below maxCallerHeaderBytes, above which net/http responds
 // by itself, without the outcome of the call.
 const maxCallHeaderBytes = 64 << 10
 
--- a/internal/daemon/serve_callers.go
+++ b/internal/daemon/serve_callers.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
-	"samphireflow/internal/resources"
 	"samphireflow/internal/tracing"
 )
 
@@ -41,7 +40,7 @@
 		d.drainBeforeStop(running)
 		stop()
 	}()
-	return d.serve(serving, resources.Callers, d.settings.CallerAddr, limitHeader(tracing.Handler("node", d.proxyTraffic.proxy)))
+	return d.serveCalls(serving, d.settings.CallerAddr, limitHeader(tracing.Handler("node", d.proxyTraffic.proxy)))
 }
 
 // awaitTable waits for the first routing table. A node without one accepts no connections, so that callers use another
--- a/internal/resources/conn.go
+++ b/internal/resources/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,9 @@
 	widen  sync.Once
 	// widenWrites enlarges the send buffer once.
 	widenWrites sync.Once
+	// http2 is set once the connection is found to carry HTTP/2. writing is held by a write then.
+	http2   atomic.Bool
+	writing sync.Mutex
 }
 
 // ConnOf returns the connection of an account that is beneath another one, nil if there is none.
@@ -34,7 +38,15 @@
 }
 
 // Read implements net.Conn.
+//
+// Over HTTP/2, nothing is read while a write waits for the client: the server keeps a frame in memory for most frames that it
+// reads, and a client that does not read them could make it keep thousands.
 func (c *Conn) Read(buffer []byte) (int, error) {
+	if c.http2.Load() {
+		c.writing.Lock()
+		//lint:ignore SA2001 The lock is taken to wait for a write.
+		c.writing.Unlock()
+	}
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
 		now := time.Now()
@@ -53,6 +65,10 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
+	if c.http2.Load() {
+		c.writing.Lock()
+		defer c.writing.Unlock()
+	}
 	if len(data) > writeBuffer {
 		c.widenWriteBuffer()
 	}
@@ -139,6 +155,12 @@
 	})
 }
 
+// beginHTTP2 takes the memory of a connection that carries HTTP/2.
+func (c *Conn) beginHTTP2() error {
+	c.http2.Store(true)
+	return c.Hold(http2ConnCost)
+}
+
 // Begin records that a request begins whose first bytes have been read before.
 func (c *Conn) Begin() {
 	if c != nil {
--- a/internal/resources/head.go
+++ b/internal/resources/head.go
@@ -11,9 +11,10 @@
 	conn *Conn
 
 	mu sync.Mutex
-	// started is set once bytes were read. http2 is set if the connection carries HTTP/2, whose headers are counted when they
-	// are handled.
-	started, http2 bool
+	// first holds the first bytes of the connection, as long as they may begin HTTP/2. http2 is set once they do: headers are
+	// counted when they are handled then.
+	first          []byte
+	decided, http2 bool
 	// done is set once the header is complete. held is what the connection holds for it.
 	done bool
 	held int64
@@ -25,9 +26,10 @@
 func (h *headCounter) read(data []byte) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.started {
-		h.started = true
-		h.http2 = bytes.HasPrefix(data, []byte("PRI * HTTP/2"))
+	if !h.decided {
+		if err := h.decide(data); err != nil {
+			return err
+		}
 	}
 	if h.done || h.http2 {
 		// Frames such as pings are no requests.
@@ -45,6 +47,23 @@
 	return nil
 }
 
+// http2Start begins each connection that carries HTTP/2, and no request of HTTP/1.
+var http2Start = []byte("PRI * ")
+
+// decide finds out by the first bytes whether the connection carries HTTP/2.
+func (h *headCounter) decide(data []byte) error {
+	h.first = append(h.first, data[:min(len(data), len(http2Start)-len(h.first))]...)
+	if !bytes.HasPrefix(http2Start, h.first) {
+		h.decided = true
+		return nil
+	}
+	if len(h.first) < len(http2Start) {
+		return nil
+	}
+	h.decided, h.http2 = true, true
+	return h.conn.beginHTTP2()
+}
+
 // reset begins with the next request.
 func (h *headCounter) reset() {
 	h.mu.Lock()
--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -9,6 +9,9 @@
 	// requestCost is the memory of a request in flight beside its header and body, in bytes: the stacks of its goroutines, its
 	// copies of the header, and the buffers of the connection to the backend server.
 	requestCost = 32 << 10
+	// http2ConnCost is the memory of a connection that carries HTTP/2, in bytes, beside its requests: a frame, the tables of
+	// both directions, and what was received for requests that do not read it.
+	http2ConnCost = 64 << 10
 	// fieldCost is the memory of a header field, in bytes, beside its text: its entries in the maps of the request and of the
 	// copies that are made of them.
 	fieldCost = 384
--- a/internal/resources/server.go
+++ b/internal/resources/server.go
@@ -68,11 +68,16 @@
 		defer memory.Release()
 		http2 := r.ProtoMajor >= 2
 		if memory.AddRequest() != nil || http2 && memory.Add(requestWeight(r)) != nil {
-			http.Error(w, ErrNoMemory.Error(), http.StatusServiceUnavailable)
+			refuse(w, http2)
 			return
 		}
 		// The server looks at the body of its own request when the handler has returned.
 		counted := r.WithContext(WithMemory(r.Context(), memory))
+		if http2 {
+			accounted := &http2Response{ResponseWriter: w, conn: conn}
+			defer accounted.finish()
+			w = accounted
+		}
 		if r.Body != nil && r.Body != http.NoBody {
 			// Otherwise the server reads the body to its end within the first write of the handler, and a client that stops
 			// short would seem to wait for the process. Writers without connections of their own do not support it.
@@ -83,6 +88,16 @@
 	})
 }
 
+// refuse refuses a request for want of memory. Over HTTP/2 it resets the stream, since a response would wait for a client that
+// does not read.
+func refuse(w http.ResponseWriter, http2 bool) {
+	if http2 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, ErrNoMemory.Error(), http.StatusServiceUnavailable)
+}
+
 // body is the body of a request. It holds memory for what its handler has read, up to a limit.
 type body struct {
 	io.ReadCloser
