Share the configuration between its readers, and make one text of metrics at a time

What callers saw: crowds that ask for the configuration or the metrics and read nothing fill the memory of the process.

Cause: each reader of the configuration got a copy of its own, unpacked for it and not counted; each reader of the metrics a set of all metrics and a compressor.

Now the unpacked document that was read last is shared.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,7 +7,6 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 )
 
@@ -39,7 +38,7 @@
 	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "alive\n") })
 	e.GET("/readyz", func(c echo.Context) error { return ready(c, source) })
 	e.GET("/version", func(c echo.Context) error { return c.JSON(http.StatusOK, source.Version()) })
-	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	e.GET("/metrics", echo.WrapHandler(newMetricsHandler(registry)))
 	e.GET("/loglevel", func(c echo.Context) error { return c.JSON(http.StatusOK, logLevel{zerolog.GlobalLevel().String()}) })
 	e.PUT("/loglevel", setLogLevel)
 	if cutter != nil {
--- a/internal/control/publish_service.go
+++ b/internal/control/publish_service.go
@@ -6,7 +6,6 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
-	"samphireflow/internal/packed"
 )
 
 // publishOutcomes maps the outcome of a failed command to that of a document.
@@ -40,7 +39,7 @@
 		return nil, err
 	}
 	document := s.options.Machine.View().Document()
-	content, err := packed.Unpack(document.GetPackedContent())
+	content, err := s.unpacked.of(document)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -69,6 +69,7 @@
 	// departuresFailing is set while departures cannot be stored.
 	departuresFailing atomic.Bool
 	domains           *knownDomains
+	unpacked          unpackedDocument
 	now               func() time.Time
 }
 
