--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -88,6 +88,17 @@
 	return err == nil
 }
 
+// writeWhole sends a text, however slowly the process reads, as long as it reads at all.
+func (m *member) writeWhole(text string) {
+	const part = 64 << 10
+	for ; len(text) > 0; text = text[min(part, len(text)):] {
+		_ = m.conn.SetWriteDeadline(time.Now().Add(eventTimeout))
+		if _, err := io.WriteString(m.conn, text[:min(part, len(text))]); err != nil {
+			return
+		}
+	}
+}
+
 // head returns the start of a request, without the empty line that ends it.
 func (m *member) head(fields string) string {
 	t := m.target
--- a/test/hostile/documents_test.go
+++ b/test/hostile/documents_test.go
@@ -39,3 +39,20 @@
 		})
 	}
 }
+
+// TestLongDocumentsSentAtOnce lets a crowd send whole configurations of nearly the largest legal size at once, each on top of a
+// version that is not current.
+func TestLongDocumentsSentAtOnce(t *testing.T) {
+	const documentBytes = 3_900_000
+	var rows strings.Builder
+	for i := 0; rows.Len() < documentBytes; i++ {
+		fmt.Fprintf(&rows, `["r%d","rota.example","/r%d/","safe",60,30,1,"rota",2],`, i, i)
+	}
+	document := strings.Replace(configDocument, `"Rows":[`, `"Rows":[`+rows.String(), 1)
+	k := kind{"long documents", true, smallCrowdSize, func(m *member) {
+		m.writeWhole(m.head(fmt.Sprintf("If-Match: 00000001\r\nContent-Length: %d\r\n\r\n", len(document))) + document)
+	}}
+	p := placeNamed("operators")
+	p.target.fields = "Content-Type: application/json\r\n"
+	startDeployment(t, manyFds).withstand(1, assault{p, k})
+}
