Leave room for the kernel beside the heap, and take a megabyte as 10^6 bytes

What callers saw: peaks within a few MB of the limit, by luck of the collector: three crowds at once 76 + 17 of 96 MB.

Evidence: TestCrowdsInWaves and TestCrowdsAtSeveralAddresses on: 6 of 13 cases failed, up to 252 MB; a node stopped, or started, beside a crowd 148 MB.

Now the heap's limit is what is left when the program has 20 MB and the kernel as much as connections may hold at all. The literal in TestHeapIsLimited is that of the new rule, below the old one.

--- a/cmd/samphireflowd/limit_heap.go
+++ b/cmd/samphireflowd/limit_heap.go
@@ -2,14 +2,23 @@
 
 import "runtime/debug"
 
-// heapShare is the share of the memory limit of a process from which on the garbage collector works harder. The rest is for
-// the program itself, the stacks of threads, and what is allocated during a collection.
-const heapShare = 0.75
+const (
+	// megabyte is the unit of the memory limit, in bytes. Of the two in use it is the smaller one.
+	megabyte = 1_000_000
+	// kernelShare is the share of the memory limit that is left for what the kernel keeps for connections: at most what
+	// connections may hold at all.
+	kernelShare = 0.3
+	// programBytes is left for the program itself and the stacks of its threads, in bytes.
+	programBytes = 20 * megabyte
+	// minHeapShare is the least share of the memory limit that the heap may have.
+	minHeapShare = 0.3
+)
 
 // limitHeap lets the garbage collector keep the process below a memory limit in MB, where that is possible; 0 means no limit.
 // Otherwise the heap may grow to twice of what is in use.
 func limitHeap(limitMB int) {
 	if limitMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(limitMB) * (1 << 20)))
+		limit := float64(limitMB) * megabyte
+		debug.SetMemoryLimit(int64(max((1-kernelShare)*limit-programBytes, minHeapShare*limit)))
 	}
 }
--- a/cmd/samphireflowd/limit_heap_test.go
+++ b/cmd/samphireflowd/limit_heap_test.go
@@ -16,5 +16,5 @@
 	limitHeap(0)
 	require.Equal(t, before, debug.SetMemoryLimit(unlimited))
 	limitHeap(280)
-	require.EqualValues(t, 210<<20, debug.SetMemoryLimit(unlimited))
+	require.EqualValues(t, 176_000_000, debug.SetMemoryLimit(unlimited))
 }
--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -55,6 +55,8 @@
 	// ownShare is the share of the descriptors that is kept for the process itself: its files and the connections that it opens.
 	ownShare = 0.2
 
+	// megabyte is the unit of the memory limit, in bytes. Of the two in use it is the smaller one.
+	megabyte = 1_000_000
 	// defaultMemory is the memory for connections, in bytes, of a process without a memory limit.
 	defaultMemory = 256 << 20
 )
@@ -70,7 +72,7 @@
 func NewLimits(descriptors, memoryMB int) Limits {
 	limits := Limits{Descriptors: descriptors - int(ownShare*float64(descriptors)), Memory: defaultMemory}
 	if memoryMB > 0 {
-		limits.Memory = int64(memoryShare * float64(memoryMB<<20))
+		limits.Memory = int64(memoryShare * float64(memoryMB*megabyte))
 	}
 	return limits
 }
