Count responses that were not buffered apart from refused requests

What operators saw: samphireflow_connections_refused_total{what="request"} and refused_requests in the log grew for each response that was passed on as its client read it, though no request was refused.

Cause: a response's memory is asked for by the same call as a request's since responses are in the account.

Now HoldBuffer counts these as unbuffered, in the metric and in the log line.

--- a/internal/callerconn/response.go
+++ b/internal/callerconn/response.go
@@ -130,7 +130,7 @@
 
 // hasBuffer reports whether a number of bytes may be buffered.
 func (w *response) hasBuffer(bytes int) bool {
-	if bytes > maxJoinedBody || bytes > w.bufferHeld && w.memory.Add(int64(bytes-w.bufferHeld)) != nil {
+	if bytes > maxJoinedBody || bytes > w.bufferHeld && w.memory.AddBuffer(int64(bytes-w.bufferHeld)) != nil {
 		return false
 	}
 	w.bufferHeld = max(w.bufferHeld, bytes)
--- a/internal/calls/call.go
+++ b/internal/calls/call.go
@@ -64,7 +64,7 @@
 		EchoHeader:   echo,
 		FreshConn:    !c.Idempotent,
 		HoldBody:     c.HoldBody,
-		Reserve:      c.Memory.Add,
+		Reserve:      c.Memory.AddBuffer,
 	}
 }
 
--- a/internal/resources/account.go
+++ b/internal/resources/account.go
@@ -18,8 +18,9 @@
 // Refusals counts what was refused or closed for want of room or for a lack of progress.
 type Refusals struct {
 	// Connections were refused, Requests got no memory, Displaced connections were closed to make room, Stalled ones for
-	// their lack of progress.
-	Connections, Requests, Displaced, Stalled int
+	// their lack of progress. Unbuffered is the number of times that there was no memory to buffer a response, which was then
+	// passed on as it was read.
+	Connections, Requests, Displaced, Stalled, Unbuffered int
 }
 
 // Account keeps the account of all connections of a process. It is safe for concurrent use.
@@ -78,6 +79,15 @@
 // Hold adds bytes to what a connection holds. It reports false if there is no memory for them: then nothing is added. The
 // connections to be closed are returned.
 func (a *Account) Hold(e *Entry, bytes int64, now time.Time) (bool, []*Entry) {
+	return a.hold(e, bytes, now, func(r *Refusals) { r.Requests++ })
+}
+
+// HoldBuffer is Hold for a response that is passed on as it is read if there is no memory to buffer it.
+func (a *Account) HoldBuffer(e *Entry, bytes int64, now time.Time) (bool, []*Entry) {
+	return a.hold(e, bytes, now, func(r *Refusals) { r.Unbuffered++ })
+}
+
+func (a *Account) hold(e *Entry, bytes int64, now time.Time, refuse func(*Refusals)) (bool, []*Entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if e.closed {
@@ -92,7 +102,7 @@
 	for bytes > 0 && !a.hasMemory(e.class, e.held+bytes, bytes, e.class.ending) {
 		victim := a.pick(e.class, now)
 		if victim == nil {
-			e.class.refused.Requests++
+			refuse(&e.class.refused)
 			return false, victims
 		}
 		e.class.refused.Displaced++
@@ -102,7 +112,7 @@
 		}
 	}
 	if bytes > 0 && !a.hasMemory(e.class, e.held+bytes, bytes, a.lent(e.class)) {
-		e.class.refused.Requests++
+		refuse(&e.class.refused)
 		return false, victims
 	}
 	e.held += bytes
--- a/internal/resources/conn.go
+++ b/internal/resources/conn.go
@@ -122,6 +122,19 @@
 	return nil
 }
 
+// HoldBuffer is Hold for a response that is passed on as it is read if there is no memory to buffer it.
+func (c *Conn) HoldBuffer(bytes int64) error {
+	if c == nil || bytes == 0 {
+		return nil
+	}
+	held, victims := c.keeper.account.HoldBuffer(c.entry, bytes, time.Now())
+	closeAll(victims)
+	if !held {
+		return ErrNoMemory
+	}
+	return nil
+}
+
 // Run records that the process works on further requests of the connection, or on fewer.
 func (c *Conn) Run(requests int) {
 	if c != nil {
@@ -148,7 +161,7 @@
 func (c *Conn) widenWriteBuffer() {
 	c.widenWrites.Do(func() {
 		tcp, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error })
-		if ok && c.Hold(longWriteBuffer) == nil {
+		if ok && c.HoldBuffer(longWriteBuffer) == nil {
 			// Without the larger buffer the response takes longer.
 			_ = tcp.SetWriteBuffer(longWriteBuffer)
 		}
--- a/internal/resources/keeper.go
+++ b/internal/resources/keeper.go
@@ -51,6 +51,7 @@
 		Int("refused_requests", status.Refusals.Requests-before.Requests).
 		Int("displaced", status.Refusals.Displaced-before.Displaced).
 		Int("stalled", status.Refusals.Stalled-before.Stalled).
+		Int("unbuffered", status.Refusals.Unbuffered-before.Unbuffered).
 		Msg("clients were refused or disconnected for want of room or progress")
 }
 
--- a/internal/resources/memory.go
+++ b/internal/resources/memory.go
@@ -22,11 +22,16 @@
 }
 
 // Add takes bytes before they are allocated. It returns ErrNoMemory if there is no room for them: then nothing is taken.
-func (m *Memory) Add(bytes int64) error {
+func (m *Memory) Add(bytes int64) error { return m.add(bytes, (*Conn).Hold) }
+
+// AddBuffer is Add for a response that is passed on as it is read if there is no memory to buffer it.
+func (m *Memory) AddBuffer(bytes int64) error { return m.add(bytes, (*Conn).HoldBuffer) }
+
+func (m *Memory) add(bytes int64, hold func(c *Conn, bytes int64) error) error {
 	if m == nil || m.conn == nil || bytes == 0 {
 		return nil
 	}
-	if err := m.conn.Hold(bytes); err != nil {
+	if err := hold(m.conn, bytes); err != nil {
 		return err
 	}
 	m.mu.Lock()
--- a/internal/resources/metrics.go
+++ b/internal/resources/metrics.go
@@ -8,7 +8,7 @@
 	heldDescription = prometheus.NewDesc("samphireflow_connections_held_bytes",
 		"Memory that connections and their requests hold, by listener.", []string{"listener"}, nil)
 	refusedDescription = prometheus.NewDesc("samphireflow_connections_refused_total",
-		"Connections and requests refused or closed for want of room or of progress, by listener and by what was done.",
+		"Connections and requests refused or closed for want of room or of progress, and responses not buffered, by listener and by what was done.",
 		[]string{"listener", "what"}, nil)
 )
 
@@ -36,6 +36,7 @@
 		metrics <- prometheus.MustNewConstMetric(heldDescription, prometheus.GaugeValue, float64(s.Held), s.Class)
 		for what, count := range map[string]int{
 			"connection": s.Refusals.Connections, "request": s.Refusals.Requests, "displaced": s.Refusals.Displaced, "stalled": s.Refusals.Stalled,
+			"unbuffered": s.Refusals.Unbuffered,
 		} {
 			metrics <- prometheus.MustNewConstMetric(refusedDescription, prometheus.CounterValue, float64(count), s.Class, what)
 		}
--- a/test/hostile/unread_test.go
+++ b/test/hostile/unread_test.go
@@ -90,5 +90,8 @@
 	for _, k := range gateUnreadKinds() {
 		play(placeNamed("gate"), k)
 	}
+	for _, name := range []string{"no route", "readiness", "announcements", "node's port for other instances"} {
+		play(placeNamed(name), kind{"short responses far ahead", name == "readiness", unreadCrowdSize, askSame("")})
+	}
 	play(placeNamed("node's port for metrics"), kind{"compressed metrics far ahead", true, unreadCrowdSize, askSame("Accept-Encoding: gzip\r\n")})
 }
