Bound the number of compressed fields of a call between nodes, and count their weight

Cause: the decoder bounded the text of the fields, in which a field of a letter without a value is one byte, and the account of the gate counted the compressed bytes. Unpacked, a field takes 16 bytes and more, and there are several copies.

Evidence: TestVeryManyFieldsAreNotDecoded decodes 65,536 fields of a letter on the code before.

Now at most 16,384 fields are unpacked, those of a header of 64 KiB, and the gate takes the memory of the unpacked header. Without it the call is refused as not run, so that another gate can be tried; so is one whose body found no memory, which was called misdirected.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -20,7 +20,16 @@
 
 // ServeHTTP serves a call from another node.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The server has counted the compressed fields.
+	if err := resources.MemoryOf(r.Context()).Add(resources.RequestWeight(r)); err != nil {
+		g.refuseForMemory(w, r)
+		return
+	}
 	f, err := g.readForwardedCall(r)
+	if errors.Is(err, resources.ErrNoMemory) {
+		g.refuseForMemory(w, r)
+		return
+	}
 	if err != nil {
 		g.options.Logger.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("cannot read a call that another node forwarded")
 		WriteResult(w, r.Header.Get(g.options.Headers.RequestID), g.options.Headers, refusal(calls.ReasonMisdirected, err.Error()))
@@ -45,6 +54,13 @@
 	WriteResult(g.onLink(ctx, w, f.call, transfer, result.Response), f.call.ID, g.options.Headers, result)
 }
 
+// refuseForMemory refuses a call for which this node has no memory. Another node may have some.
+func (g *Gate) refuseForMemory(w http.ResponseWriter, r *http.Request) {
+	refused := refusal(calls.ReasonFull, resources.ErrNoMemory.Error())
+	refused.RetryAfter = minRetryAfter
+	WriteResult(w, r.Header.Get(g.options.Headers.RequestID), g.options.Headers, refused)
+}
+
 // readForwardedCall reads the call and its metadata. The other node sends times as remaining durations, so that the clocks
 // of the nodes need not agree.
 func (g *Gate) readForwardedCall(r *http.Request) (*forwardedCall, error) {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -71,6 +71,19 @@
 	})
 }
 
+// TestVeryManyFieldsAreNotDecoded packs fields of a letter, a byte each, of which there are as many as a long header has, and more.
+func TestVeryManyFieldsAreNotDecoded(t *testing.T) {
+	const longestHeader = 64 << 10
+	for count, accepted := range map[int]bool{longestHeader/len("F:\r\n") - 1: true, longestHeader: false} {
+		packed := hop.NewEncoder().Encode(hop.Fields{Target: "/", Header: http.Header{"F": make([]string, count)}})
+		fields, err := hop.NewDecoder().Decode(packed)
+		require.Equal(t, accepted, err == nil, "%d fields", count)
+		if accepted {
+			require.Len(t, fields.Header["F"], count)
+		}
+	}
+}
+
 // startServer starts a server that uses Handler and returns its address.
 func startServer(t *testing.T, handler http.HandlerFunc) string {
 	server := httptest.NewUnstartedServer(hop.Handler(handler, zerolog.Nop()))
--- a/internal/resources/head.go
+++ b/internal/resources/head.go
@@ -77,8 +77,8 @@
 	return int64(fields)*fieldCost + int64(length)*textCopies
 }
 
-// requestWeight returns the memory of the header of a request.
-func requestWeight(r *http.Request) int64 {
+// RequestWeight returns the memory of the header of a request.
+func RequestWeight(r *http.Request) int64 {
 	fields, length := 0, len(r.RequestURI)
 	for name, values := range r.Header {
 		for _, value := range values {
