Say that a call for which a gate has no memory has not run

What callers saw: 502 for a call that a gate refused for want of memory, as if it might have run; another gate was not tried.

Cause: since requests in flight count in the account, the gate's server refused them itself, with a 503 that other nodes cannot tell from a response of something else at that address.

Now a class of listeners can leave such refusals to its handler, to which all memory is refused, and the gate answers with the result that another gate may be tried.

--- a/internal/resources/limits.go
+++ b/internal/resources/limits.go
@@ -83,6 +83,8 @@
 	Share float64
 	// MaxBody is the number of bytes of a request's body that its handler has in memory at most.
 	MaxBody int64
+	// HandlerRefuses is set if the handler itself answers a request for which there is no memory: to it, all memory is refused.
+	HandlerRefuses bool
 	// IdleTimeout is the time after which an unused connection is closed; 0 leaves that to the server.
 	IdleTimeout time.Duration
 }
@@ -90,7 +92,7 @@
 // The classes of listeners. Operators and other instances reach a control instance at one address, that of Control.
 var (
 	Callers       = Class{Name: "callers", Share: 0.4, MaxBody: 64 << 10}
-	Gate          = Class{Name: "gate", Share: 0.15, MaxBody: 96 << 10, IdleTimeout: keepIdle}
+	Gate          = Class{Name: "gate", Share: 0.15, MaxBody: 96 << 10, HandlerRefuses: true, IdleTimeout: keepIdle}
 	Control       = Class{Name: "control", Share: 0.15, MaxBody: 64 << 20, IdleTimeout: keepIdle}
 	Announcements = Class{Name: "announcements", Share: 0.03, MaxBody: 64 << 10, IdleTimeout: keepIdle}
 	Readiness     = Class{Name: "readiness", Share: 0.03, MaxBody: 64 << 10, IdleTimeout: keepIdle}
--- a/internal/resources/memory.go
+++ b/internal/resources/memory.go
@@ -14,6 +14,8 @@
 	mu       sync.Mutex
 	bytes    int64
 	released bool
+	// refused is set for a request that got no memory and whose handler says so.
+	refused bool
 }
 
 // NewMemory returns the memory of a request, of which the connection already holds a number of bytes.
@@ -31,6 +33,9 @@
 	if m == nil || m.conn == nil || bytes == 0 {
 		return nil
 	}
+	if m.refused {
+		return ErrNoMemory
+	}
 	if err := hold(m.conn, bytes); err != nil {
 		return err
 	}
--- a/internal/resources/server.go
+++ b/internal/resources/server.go
@@ -67,7 +67,8 @@
 		memory := conn.NewMemory(0)
 		defer memory.Release()
 		http2 := r.ProtoMajor >= 2
-		if memory.AddRequest() != nil || http2 && memory.Add(RequestWeight(r)) != nil {
+		memory.refused = memory.AddRequest() != nil || http2 && memory.Add(RequestWeight(r)) != nil
+		if memory.refused && !class.HandlerRefuses {
 			refuse(w, http2)
 			return
 		}
--- a/internal/resources/server_test.go
+++ b/internal/resources/server_test.go
@@ -83,3 +83,57 @@
 	require.ErrorIs(t, <-failed, ErrNoMemory)
 	require.Equal(t, 1, account.Status()[0].Refusals.Requests)
 }
+
+// TestEndedConnectionsHoldNothing closes a connection of each protocol, from either side, of which requests were handled.
+func TestEndedConnectionsHoldNothing(t *testing.T) {
+	for name, http2 := range map[string]bool{"HTTP/1": false, "HTTP/2": true} {
+		for _, displaced := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				account := NewAccount(NewLimits(100, 0), Control)
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(w, r.Body)
+				})}
+				protocols := &http.Protocols{}
+				protocols.SetHTTP1(!http2)
+				protocols.SetUnencryptedHTTP2(http2)
+				server.Protocols = protocols
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				kept := NewKeeper(account, zerolog.Nop()).Serve(server, listener, Control)
+				go func() { _ = server.Serve(kept) }()
+				defer server.Close()
+				client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+				response, err := client.Post("http://"+listener.Addr().String()+"/", "text/plain", strings.NewReader(strings.Repeat("x", 100_000)))
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, response.Body)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+				require.NotZero(t, account.Status()[0].Held)
+				if displaced {
+					closeAll(account.Sweep(time.Now().Add(2 * keepIdle)))
+				} else {
+					client.CloseIdleConnections()
+				}
+				require.Eventually(t, func() bool { s := account.Status()[0]; return s.Held == 0 && s.Conns == 0 }, 5*time.Second, time.Millisecond)
+				require.Zero(t, account.classes[0].ending)
+			})
+		}
+	}
+}
+
+// TestHandlerRefusesForItself lets a class answer requests without memory by its own handler, to which all memory is refused.
+func TestHandlerRefusesForItself(t *testing.T) {
+	class := Class{Name: "own refusals", Share: 1, HandlerRefuses: true}
+	account := NewAccount(Limits{Descriptors: 100, Memory: connCost + requestCost/2}, class)
+	refused := make(chan error, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { refused <- MemoryOf(r.Context()).Add(1) })}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	kept := NewKeeper(account, zerolog.Nop()).Serve(server, listener, class)
+	go func() { _ = server.Serve(kept) }()
+	defer server.Close()
+	response, err := http.Get("http://" + listener.Addr().String() + "/")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.ErrorIs(t, <-refused, ErrNoMemory)
+}
