--- a/internal/admin/metrics_handler.go
+++ b/internal/admin/metrics_handler.go
@@ -26,7 +26,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *metricsHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	format := expfmt.Negotiate(r.Header)
+	format := expfmt.NegotiateAccept(r.Header, expfmt.DefaultAcceptedFormats()...)
 	text, err := h.gather(r, format)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
