--- a/test/hostile/combined_test.go
+++ b/test/hostile/combined_test.go
@@ -5,7 +5,6 @@
 	"syscall"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -83,11 +82,7 @@
 	g := d.watch()
 	crowds := startCrowds(assaults)
 	d.configure()
-	answered := d.serves(assaults)
-	dismissAll(crowds)
-	d.requireAlive()
-	g.check()
-	assert.True(t, answered, "ordinary requests are answered")
+	g.endServed(crowds, assaults)
 }
 
 // TestCrowdAtAStoppingNode lets a crowd be there, and another one come, while a node is stopped. It ends by itself, and until
--- a/test/hostile/documents_test.go
+++ b/test/hostile/documents_test.go
@@ -5,7 +5,6 @@
 	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -31,11 +30,7 @@
 			assaults := []assault{{placeNamed("operators"), k}}
 			g := d.watch()
 			crowds := startCrowds(assaults)
-			answered := d.serves(assaults)
-			dismissAll(crowds)
-			d.requireAlive()
-			g.check()
-			assert.True(t, answered, "ordinary requests are answered")
+			g.endServed(crowds, assaults)
 		})
 	}
 }
--- a/test/hostile/withstand_test.go
+++ b/test/hostile/withstand_test.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// endServed checks that ordinary requests are answered while crowds stay, then lets the crowds leave and ends the watch.
+func (g *guard) endServed(crowds []*crowd, assaults []assault) {
+	answered := g.d.serves(assaults)
+	dismissAll(crowds)
+	g.d.requireAlive()
+	g.check()
+	assert.True(g.d.t, answered, "ordinary requests are answered")
+}
+
 func (d *deployment) requireAlive() {
 	for i, p := range d.processes {
 		require.True(d.t, p.alive(), "the process of instance %d has ended", i)
