Tell requests that crash backend servers apart by their caller and by long bodies

Cause: the fingerprint held route, method, host with target and the buffered body, but neither the caller nor the content of a body that is passed on as it is read. The proxy lacked the caller, too.

Why it works: caller and customer as the node has established them are part of the fingerprint on both call paths. A long body is hashed on its way; its rest is read after a crash, and while a request of the same caller, target and length is blocked it is read whole before it is sent. Fingerprints of the build before match none of this one, and a starting node goes on asking until a node of its own build has answered.

--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -53,6 +53,8 @@
 	arrived time.Time
 	service string
 	config  *apiv1.ServiceConfig
+	// suspect is the request as Suspects sees it, nil without Suspects.
+	suspect *suspect.Request
 
 	// tried holds the instance names of the backend servers that are not tried again.
 	tried map[string]bool
@@ -90,11 +92,14 @@
 	if service == nil {
 		return nil, notRun("service "+d.service+" is not configured", minRetryAfter)
 	}
-	if d.blocked() {
+	d.config = service.Config
+	if refused := d.holdSuspectBody(ctx); refused != nil {
+		return nil, refused
+	}
+	servers, blocked := d.unblockedServers(service)
+	if blocked {
 		return nil, notRun("this request has crashed backend servers", 0)
 	}
-	d.config = service.Config
-	servers := d.ingress.pickServers(service)
 	d.tried = map[string]bool{}
 	d.late = d.ingress.overloads.overloaded(d.service, d.arrived)
 	d.ingress.retries.recordFirstSend(d.service, d.ingress.options.Gate.RepeatedShare(), d.table.ServerCount, d.arrived)
@@ -110,7 +115,8 @@
 		switch result.Outcome {
 		case calls.Answered:
 			if !d.retryServerError(result) {
-				return d.complete(result)
+				d.reportCompleted(server, result.Response)
+				return result.Response, nil
 			}
 		case calls.NotRun:
 			if refused := d.handleRefusal(ctx, server, result); refused != nil {
@@ -122,7 +128,8 @@
 			return nil, unknown("the caller left")
 		default:
 			d.reportBroken(ctx, server)
-			if !d.retryUnknown(ctx) {
+			servers = d.withoutBlocked(servers)
+			if len(servers) == 0 || !d.retryUnknown(ctx) {
 				return nil, unknown("no whole answer came from the backend server: " + result.Detail)
 			}
 		}
@@ -249,15 +256,6 @@
 	}
 }
 
-// complete returns the response of a backend server to the caller. Unless it is a server error, the request is reported
-// to Suspects as completed.
-func (d *dispatch) complete(result *calls.Result) (*exchange.Response, *refusal) {
-	if suspects := d.ingress.options.Suspects; suspects != nil && suspects.Active() && result.Response.Status < http.StatusInternalServerError {
-		suspects.ReportCompleted(d.service, d.fingerprint())
-	}
-	return result.Response, nil
-}
-
 // retryServerError reports whether a call is retried after the given response of a backend server. If so, it takes a
 // retry from the budget.
 func (d *dispatch) retryServerError(result *calls.Result) bool {
@@ -279,7 +277,7 @@
 
 // retryUnknown reports whether a call that may have run is retried. If so, it takes a retry from the budget.
 func (d *dispatch) retryUnknown(ctx context.Context) bool {
-	if !d.call.Idempotent || ctx.Err() != nil || !d.mayRetry() || d.blocked() {
+	if !d.call.Idempotent || ctx.Err() != nil || !d.mayRetry() {
 		return false
 	}
 	return d.ingress.retries.takeRetry(d.service, d.ingress.options.Now())
@@ -382,22 +380,3 @@
 func (d *dispatch) mayHaveRun() bool {
 	return slices.ContainsFunc(d.attempts, func(a attempt) bool { return a.result.Outcome != calls.NotRun })
 }
-
-// fingerprint identifies requests that are the same to a backend server.
-func (d *dispatch) fingerprint() suspect.Fingerprint {
-	return suspect.NewFingerprint(d.call.Route, d.call.Method, d.call.Host+d.call.Target, d.call.Body)
-}
-
-// blocked reports whether the request is refused because it has crashed too many backend servers.
-func (d *dispatch) blocked() bool {
-	suspects := d.ingress.options.Suspects
-	return suspects != nil && suspects.Active() && suspects.Blocked(d.service, d.fingerprint())
-}
-
-// reportBroken reports to Suspects that an attempt broke off. If the backend server crashed with the call in flight, the
-// other nodes are notified before the caller can retry.
-func (d *dispatch) reportBroken(ctx context.Context, server *routing.Server) {
-	if suspects := d.ingress.options.Suspects; suspects != nil {
-		suspects.ReportBroken(ctx, d.service, d.fingerprint(), server)
-	}
-}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -63,6 +63,7 @@
 		return
 	}
 	d := &dispatch{ingress: i, table: table, route: route, call: c, arrived: arrived, service: pickService(route, i.options.Random)}
+	d.identifySuspect()
 	response, refused := i.runCall(r.Context(), d)
 	i.returnQuota(d, counted)
 	i.options.Metrics.observe(d, refused, i.options.Now().Sub(arrived))
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -21,10 +21,14 @@
 
 // Suspects tracks the requests that crash backend servers; *suspect.Tracker implements it.
 type Suspects interface {
+	// Active reports whether any request is suspect.
 	Active() bool
-	Blocked(service string, fingerprint suspect.Fingerprint) bool
-	ReportBroken(ctx context.Context, service string, fingerprint suspect.Fingerprint, server *routing.Server)
-	ReportCompleted(service string, fingerprint suspect.Fingerprint)
+	// Blocked reports whether a request must be refused at a version of its service.
+	Blocked(request *suspect.Request, version string) bool
+	// HoldLimit returns how many bytes of a long body must be read before Blocked can tell, 0 if none.
+	HoldLimit(request *suspect.Request) int64
+	ReportBroken(ctx context.Context, request *suspect.Request, server *routing.Server)
+	ReportCompleted(request *suspect.Request, version string)
 }
 
 // Options configures an ingress.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -71,7 +71,7 @@
 			outcome = balance.OutcomeError
 		}
 		p.recordOutcome(c, server, outcome, now)
-		p.reportCompleted(c)
+		p.reportCompleted(c, server)
 	}
 	latency := now.Sub(started)
 	if r.response != nil {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"samphireflow/internal/routing"
+	"samphireflow/internal/suspect"
 )
 
 const (
@@ -16,6 +17,8 @@
 	maxBodyBytes = 1 << 20
 	// maxKeyBytes is the length of the longest idempotency key, and of the longest instance name in a grant request.
 	maxKeyBytes = 128
+	// maxCallerBytes is the length of the longest name of a caller.
+	maxCallerBytes = 128
 	// maxDepth is the call depth from which a call is refused, because calls of this depth indicate a loop.
 	maxDepth = 32
 )
@@ -31,6 +34,8 @@
 	depth    int
 	deadline time.Time
 	body     []byte
+	// suspect is the request as Suspects sees it.
+	suspect *suspect.Request
 	// memory is the reservation for the body of the newest response.
 	memory *reservation
 	// pendingReports waits for the reports of broken attempts to other nodes. A failed call is answered after them, so
@@ -113,9 +118,10 @@
 	return nil
 }
 
-// callerName returns the name under which the caller's share of queues is counted.
+// callerName returns the name of the caller, by which its share of queues is counted and its requests are told from those of
+// others. A name that is too long is ignored.
 func callerName(r *http.Request) string {
-	if name := r.Header.Get(HeaderCaller); name != "" {
+	if name := r.Header.Get(HeaderCaller); name != "" && len(name) <= maxCallerBytes {
 		return name
 	}
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
--- a/internal/proxy/gate_test.go
+++ b/internal/proxy/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -208,6 +209,9 @@
 // headerHold makes a crashingServer hold the request until the server crashes.
 const headerHold = "Hold"
 
+// headerCrash makes a crashingServer crash, whatever the path of the request.
+const headerCrash = "Crash"
+
 // crashingServer is a backend server that crashes on a request to /rota/crash: it closes its listener and all connections.
 type crashingServer struct {
 	*httptest.Server
@@ -218,7 +222,9 @@
 func newCrashingServer(t testing.TB) *crashingServer {
 	c := &crashingServer{entered: make(chan struct{}, 1)}
 	c.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/rota/crash" {
+		// The server notices that a connection is closed once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/rota/crash" || r.Header.Get(headerCrash) != "" {
 			c.once.Do(func() {
 				_ = c.Listener.Close()
 				go c.CloseClientConnections()
@@ -245,11 +251,8 @@
 	return err != nil
 }
 
-// TestCrashingRequestIsRefusedAfterTwoCrashes sends a request that crashes each backend server through different nodes. It
-// must be blocked after two crashes. Another request is in flight at both crashes too, but completes on another
-// backend server in between, so it must not be blocked.
-func TestCrashingRequestIsRefusedAfterTwoCrashes(t *testing.T) {
-	const count = 4
+// newCrashingGroup starts nodes, each of which sends its calls to a backend server of its own and reports crashes to the others.
+func newCrashingGroup(t *testing.T, count int) ([]*testProxy, []*crashingServer) {
 	var gates []*testGate
 	var crashers []*crashingServer
 	var nodes []*testProxy
@@ -264,6 +267,15 @@
 		gate.peers.Store(&peers)
 		nodes = append(nodes, newTestProxy(t, Options{Recorder: discardRecorder{}, Suspects: gate.suspects}, defaultSettings(), gate.info))
 	}
+	return nodes, crashers
+}
+
+// TestCrashingRequestIsRefusedAfterTwoCrashes sends a request that crashes each backend server through different nodes. It
+// must be blocked after two crashes. Another request is in flight at both crashes too, but completes on another
+// backend server in between, so it must not be blocked.
+func TestCrashingRequestIsRefusedAfterTwoCrashes(t *testing.T) {
+	const count = 4
+	nodes, crashers := newCrashingGroup(t, count)
 	for i := range 2 {
 		other := make(chan reply, 1)
 		go func() { other <- nodes[i].call(t, "GET", "/rota/beside", "", headerHold, "1") }()
@@ -286,6 +298,35 @@
 	require.True(t, crashers[0].crashed() && crashers[1].crashed())
 }
 
+// TestCrashingRequestIsRefusedForItsCallerOnly guards against a request that another caller's request on the same path, or one
+// with another body, clears, or that blocks them.
+func TestCrashingRequestIsRefusedForItsCallerOnly(t *testing.T) {
+	for _, request := range []struct{ method, path, body, other string }{
+		{"GET", "/rota/1", "", ""}, {"POST", "/shifts/1", "crash", "other"},
+	} {
+		const count = 5
+		nodes, crashers := newCrashingGroup(t, count)
+		send := func(node int, caller, body string, more ...string) reply {
+			return nodes[node].call(t, request.method, request.path, body, append(more, HeaderCaller, caller)...)
+		}
+		for i := range count {
+			got := send(i, "desk", request.body, headerCrash, "1")
+			if i < 2 {
+				require.Equal(t, OutcomeUnknown, got.outcome)
+			} else {
+				require.Equal(t, http.StatusUnprocessableEntity, got.status)
+			}
+			for n := max(i, 2); n < count; n++ {
+				require.Equal(t, OutcomeDone, send(n, "board", request.body).outcome, "another caller")
+				if request.other != request.body {
+					require.Equal(t, OutcomeDone, send(n, "desk", request.other).outcome, "another body")
+				}
+			}
+		}
+		require.True(t, crashers[0].crashed() && crashers[1].crashed() && !crashers[2].crashed())
+	}
+}
+
 // TestOneCallCrashesAtMostTwoBackendServers lets a node retry an idempotent request that crashes each backend server. The
 // retries within one call must stop after two crashes, although the retry limit permits more.
 func TestOneCallCrashesAtMostTwoBackendServers(t *testing.T) {
--- a/internal/proxy/peer_service.go
+++ b/internal/proxy/peer_service.go
@@ -56,7 +56,7 @@
 
 // Suspects lists the suspect requests that this node knows.
 func (s *PeerService) Suspects(context.Context, *apiv1.SuspectsRequest) (*apiv1.SuspectsResponse, error) {
-	return &apiv1.SuspectsResponse{Requests: s.suspects.List()}, nil
+	return s.suspects.List(), nil
 }
 
 // Drain drains the local backend server or undoes its draining.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -141,6 +141,7 @@
 	}
 	c.service = withFallback(table, c.service)
 	c.state = p.states.get(c.route.Config.Name)
+	c.suspect = newSuspect(c)
 	if refused := p.admit(c, now); refused != nil {
 		return nil, refused
 	}
@@ -169,11 +170,15 @@
 		}
 	}
 	if p.blocked(c) {
-		return notRunRefusal(http.StatusUnprocessableEntity, "the request was in flight when two backend servers died")
+		return blockedRefusal()
 	}
 	return nil
 }
 
+func blockedRefusal() *refusal {
+	return notRunRefusal(http.StatusUnprocessableEntity, "the request was in flight when several backend servers died")
+}
+
 // withFallback returns the service, or its fallback if the service has no backend servers.
 func withFallback(table *routing.Table, service *routing.Service) *routing.Service {
 	for i := range service.Versions {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -14,6 +14,9 @@
 	if version == nil || version.Size() == 0 {
 		return nil, notRunRefusal(http.StatusServiceUnavailable, "service "+c.service.Config.Name+" has no backend server")
 	}
+	if version = p.unblockedVersion(c, version); version == nil {
+		return nil, blockedRefusal()
+	}
 	c.state.budget.Deposit(c.route.Settings.RetryBudget)
 	var tried map[string]bool
 	var last *refusal
@@ -37,7 +40,7 @@
 			// reports, and it must not reach a third one before.
 			c.pendingReports.Wait()
 		}
-		if !p.mayRetry(ctx, c, &r, attempts) {
+		if !p.mayRetry(ctx, c, version, &r, attempts) {
 			c.pendingReports.Wait()
 			return nil, last
 		}
@@ -57,7 +60,7 @@
 // mayRetry reports whether the call may be retried. An attempt that was not sent added no load, so it is retried at every
 // depth. A shed or broken attempt is retried only at depth 0, so that retries do not multiply with the depth of nested
 // calls; a broken one also only if the call is idempotent and not blocked.
-func (p *Proxy) mayRetry(ctx context.Context, c *call, r *result, attempts int) bool {
+func (p *Proxy) mayRetry(ctx context.Context, c *call, version *routing.Version, r *result, attempts int) bool {
 	if ctx.Err() != nil || attempts >= c.route.Settings.RetryLimit {
 		return false
 	}
@@ -71,7 +74,7 @@
 			return false
 		}
 	case attemptBroken:
-		if c.depth > 0 || !c.route.Config.Idempotent || p.blocked(c) {
+		if c.depth > 0 || !c.route.Config.Idempotent || p.blockedAt(c, version) {
 			return false
 		}
 	}
--- a/internal/suspect/doc.go
+++ b/internal/suspect/doc.go
@@ -1,3 +1,4 @@
-// Package suspect finds requests that crash backend servers. A request that was in flight when two backend servers crashed
-// is refused in the whole service for a limited time, unless it completes at some backend server, which clears it.
+// Package suspect finds requests that crash backend servers. A request that was in flight when backend servers crashed is refused
+// at the versions of the service that it crashed, for a limited time. A response that completes clears the crashes before it, not
+// those that follow.
 package suspect
--- /dev/null
+++ b/internal/suspect/entry_test.go
@@ -0,0 +1,62 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	apiv1 "samphireflow/api/v1"
+)
+
+// TestFingerprintsOfEarlierBuildsMatchNothing guards against reports of nodes of the build before that clear or block requests of
+// this one, and against a start that takes their list for all there is to know.
+func TestFingerprintsOfEarlierBuildsMatchNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(Options{Now: func() time.Time { return now }})
+	request := &Request{Service: "rota", Identity: Identity{Caller: "desk", Method: "GET", Host: "h", Target: "/1"}}
+	fingerprint, _ := request.fingerprint()
+	// The build before hashed route, method and host with target, each followed by a zero byte.
+	earlier := Fingerprint(xxhash.Sum64String("lookup\x00GET\x00h/1\x00"))
+	require.NotEqual(t, earlier, fingerprint)
+	for incarnation := range uint64(2) {
+		tracker.HandlePeerReport(&apiv1.SuspectRequest{Service: "rota", Fingerprint: uint64(earlier), Instance: "a", Incarnation: incarnation})
+	}
+	require.False(t, tracker.Blocked(request, "v1"))
+	for incarnation := range uint64(2) {
+		tracker.HandlePeerReport(&apiv1.SuspectRequest{Service: "rota", Fingerprint: uint64(fingerprint), Instance: "a", Incarnation: incarnation, Version: "v1"})
+	}
+	require.True(t, tracker.Blocked(request, "v1"))
+	tracker.HandlePeerReport(&apiv1.SuspectRequest{Service: "rota", Fingerprint: uint64(earlier), Cleared: true})
+	require.True(t, tracker.Blocked(request, "v1"))
+	require.EqualValues(t, fingerprintVersion, tracker.List().FingerprintVersion)
+}
+
+// TestMergedListsBlockTheSameRequests checks that a node that has learned from another blocks what that one blocks.
+func TestMergedListsBlockTheSameRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, now := NewStore(), time.Unix(1000, 0)
+		versions := []string{"v1", "v2"}
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			k := key{"rota", Fingerprint(rapid.IntRange(1, 3).Draw(t, "request"))}
+			version := rapid.SampledFrom(versions).Draw(t, "version")
+			if rapid.Bool().Draw(t, "completes") {
+				store.RecordCompletion(k, version, now)
+				continue
+			}
+			store.RecordCrash(crashReport{
+				key: k, version: version, process: ServerProcess{"a", rapid.Uint64Range(1, 9).Draw(t, "incarnation")}, ranBefore: rapid.Bool().Draw(t, "ran"),
+			}, now)
+		}
+		learned := NewStore()
+		learned.Merge(store.List(now), now)
+		for request := range Fingerprint(4) {
+			for _, version := range versions {
+				k := key{"rota", request}
+				require.Equal(t, store.Blocked(k, version, now), learned.Blocked(k, version, now))
+			}
+		}
+	})
+}
--- a/internal/suspect/fingerprint.go
+++ b/internal/suspect/fingerprint.go
@@ -1,19 +1,46 @@
 package suspect
 
 import (
+	"encoding/binary"
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint is the xxHash64 of the parts that identify a request: route, method, path with query, and body.
+// fingerprintVersion numbers the ways in which fingerprints were computed. Version 0 left out the caller.
+const fingerprintVersion = 1
+
+// Fingerprint is the xxHash64 of the parts by which requests differ for a backend server.
 type Fingerprint uint64
 
-// NewFingerprint returns the fingerprint of a request.
-func NewFingerprint(route, method, uri string, body []byte) Fingerprint {
+// Identity holds what identifies a request beside its body. Callers send different requests even if all else is equal,
+// because backend servers learn who calls. The route is no part of it: a configuration may rename it between two sends.
+type Identity struct {
+	// Caller is the service or the name of the caller. Customer is the customer whose key was checked.
+	Caller   string
+	Customer string
+	Method   string
+	// Host is empty where it does not choose the route; there it is the address of the node that was called.
+	Host string
+	// Target is the path with the query.
+	Target string
+}
+
+// digest returns a hash of the identity, to which the body can be added.
+func (i Identity) digest() *xxhash.Digest {
 	hash := xxhash.New()
-	for _, part := range [...]string{route, method, uri} {
+	var length [8]byte
+	for _, part := range [...]string{i.Caller, i.Customer, i.Method, strings.ToLower(i.Host), i.Target} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = hash.Write(length[:])
 		_, _ = hash.WriteString(part)
-		_, _ = hash.Write([]byte{0})
 	}
+	return hash
+}
+
+// Fingerprint returns the fingerprint of the request with the given body.
+func (i Identity) Fingerprint(body []byte) Fingerprint {
+	hash := i.digest()
 	_, _ = hash.Write(body)
 	return Fingerprint(hash.Sum64())
 }
--- a/internal/suspect/learn.go
+++ b/internal/suspect/learn.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// askPeers asks some other nodes and returns how many of them answered.
+// askPeers asks some other nodes and returns how many of them answered with fingerprints that this node computes, too.
 func (t *Tracker) askPeers(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
 	defer cancel()
@@ -51,6 +51,10 @@
 				t.options.Logger.Debug().Err(err).Str("peer", addr).Msg("asking another node for suspect requests failed")
 				return nil
 			}
+			if response.FingerprintVersion != fingerprintVersion {
+				// The node of another build knows nothing of use, but a third may.
+				return nil
+			}
 			t.store.Merge(response.Requests, t.options.Now())
 			answered.Add(1)
 			return nil
@@ -61,6 +65,6 @@
 }
 
 // List lists the suspect requests that this node knows.
-func (t *Tracker) List() []*apiv1.KnownSuspect {
-	return t.store.List(t.options.Now())
+func (t *Tracker) List() *apiv1.SuspectsResponse {
+	return &apiv1.SuspectsResponse{Requests: t.store.List(t.options.Now()), FingerprintVersion: fingerprintVersion}
 }
--- a/internal/suspect/learn_test.go
+++ b/internal/suspect/learn_test.go
@@ -20,7 +20,7 @@
 }
 
 func (p listingPeer) Suspects(context.Context, *apiv1.SuspectsRequest) (*apiv1.SuspectsResponse, error) {
-	return &apiv1.SuspectsResponse{Requests: p.tracker.List()}, nil
+	return p.tracker.List(), nil
 }
 
 // TestRestartedNodeLearnsSuspectRequests guards against a node that forgets in a restart which requests crash backend servers,
@@ -50,13 +50,13 @@
 	defer silent.Close()
 
 	restarted := newTracker(server.Listener.Addr().String(), silent.Listener.Addr().String(), "127.0.0.1:1")
-	require.False(t, restarted.Blocked("rota", 1))
+	require.False(t, restarted.store.Blocked(key{"rota", 1}, "", now))
 	restarted.learn(t.Context())
-	require.True(t, restarted.Blocked("rota", 1))
-	require.False(t, restarted.Blocked("rota", 2), "one crash does not block")
-	require.False(t, restarted.Blocked("rota", 3), "a completed request is not blocked")
+	require.True(t, restarted.store.Blocked(key{"rota", 1}, "", now))
+	require.False(t, restarted.store.Blocked(key{"rota", 2}, "", now), "one crash does not block")
+	require.False(t, restarted.store.Blocked(key{"rota", 3}, "", now), "a completed request is not blocked")
 	restarted.HandlePeerReport(&apiv1.SuspectRequest{Service: "rota", Fingerprint: 2, Instance: "s", Incarnation: 9})
-	require.True(t, restarted.Blocked("rota", 2), "the crash before the restart counts")
+	require.True(t, restarted.store.Blocked(key{"rota", 2}, "", now), "the crash before the restart counts")
 	now = now.Add(TTL / 2)
-	require.False(t, restarted.Blocked("rota", 1), "the time before the restart counts, too")
+	require.False(t, restarted.store.Blocked(key{"rota", 1}, "", now), "the time before the restart counts, too")
 }
--- a/internal/suspect/store.go
+++ b/internal/suspect/store.go
@@ -11,26 +11,10 @@
 const (
 	// TTL is the time for which a suspect request is remembered, and refused if it is blocked. It counts from the last crash.
 	TTL = 10 * time.Minute
-	// blockingCrashes is the number of crashes after which a request is refused.
-	blockingCrashes = 2
-	// maxEntries bounds the number of remembered requests. The one whose last crash is oldest is evicted first.
+	// maxEntries bounds the number of remembered requests.
 	maxEntries = 4096
 )
 
-// ServerProcess identifies one incarnation of a backend server.
-type ServerProcess struct {
-	Instance    string
-	Incarnation uint64
-}
-
-// entry describes one suspect request.
-type entry struct {
-	// crashes holds the processes that crashed, at most blockingCrashes of them.
-	crashes   []ServerProcess
-	cleared   bool
-	lastCrash time.Time
-}
-
 // Store remembers the requests that were in flight when backend servers crashed. It is safe for concurrent use.
 type Store struct {
 	// size is the number of entries. It is atomic so that Empty needs no lock.
@@ -45,6 +29,16 @@
 	fingerprint Fingerprint
 }
 
+// crashReport says that a request was in flight when a backend server crashed.
+type crashReport struct {
+	key
+	long    longKey
+	process ServerProcess
+	version string
+	// ranBefore is set if the request is known to have completed at the version before.
+	ranBefore bool
+}
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{entries: map[key]*entry{}}
@@ -57,46 +51,54 @@
 
 // RecordCrash records that a request was in flight when a backend server crashed. It reports whether that was not known
 // before: a crash that several nodes report counts once.
-func (s *Store) RecordCrash(service string, fingerprint Fingerprint, process ServerProcess, now time.Time) bool {
+func (s *Store) RecordCrash(report crashReport, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.activeEntry(key{service, fingerprint}, now)
-	for _, known := range e.crashes {
-		if known == process {
-			return false
-		}
-	}
-	if len(e.crashes) < blockingCrashes {
-		e.crashes = append(e.crashes, process)
+	e := s.activeEntry(report.key, now)
+	e.long = report.long
+	if report.ranBefore {
+		e.markCompleted(report.version)
 	}
-	if now.After(e.lastCrash) {
-		e.lastCrash = now
-	}
-	return true
+	return e.addCrash(crash{process: report.process, version: report.version}, now)
 }
 
-// RecordCompletion clears a suspect request, because it has completed without a crash of its backend server. It reports
-// whether the request was suspect and not cleared before.
-func (s *Store) RecordCompletion(service string, fingerprint Fingerprint, now time.Time) bool {
+// RecordCompletion records that a suspect request has completed at a version of the service. It reports whether other nodes
+// have to know of that.
+func (s *Store) RecordCompletion(k key, version string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.entries[key{service, fingerprint}]
-	if e == nil || e.cleared || now.Sub(e.lastCrash) >= TTL {
+	e := s.entries[k]
+	return e != nil && now.Sub(e.lastCrash) < TTL && e.complete(version)
+}
+
+// Blocked reports whether a request must be refused at a version of the service.
+func (s *Store) Blocked(k key, version string, now time.Time) bool {
+	if s.Empty() {
 		return false
 	}
-	e.cleared = true
-	return true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[k]
+	return e != nil && now.Sub(e.lastCrash) < TTL && e.blocked(version)
 }
 
-// Blocked reports whether a request must be refused.
-func (s *Store) Blocked(service string, fingerprint Fingerprint, now time.Time) bool {
+// HoldLimit returns how much of a long body must be read to tell whether the request is blocked, 0 if it is not blocked
+// whatever its body holds.
+func (s *Store) HoldLimit(service string, long longKey, now time.Time) int64 {
 	if s.Empty() {
-		return false
+		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.entries[key{service, fingerprint}]
-	return e != nil && !e.cleared && len(e.crashes) >= blockingCrashes && now.Sub(e.lastCrash) < TTL
+	limit := int64(0)
+	for k, e := range s.entries {
+		matches := k.service == service && e.long.bytes > 0 && e.long.head == long.head && (long.bytes < 0 || long.bytes == e.long.bytes)
+		if matches && now.Sub(e.lastCrash) < TTL && e.blockedAnywhere() {
+			// One more byte tells a longer body from this one.
+			limit = max(limit, e.long.bytes+1)
+		}
+	}
+	return limit
 }
 
 // List lists the requests that are remembered.
@@ -109,10 +111,13 @@
 			continue
 		}
 		known := &apiv1.KnownSuspect{
-			Service: k.service, Fingerprint: uint64(k.fingerprint), Cleared: e.cleared, AgeMs: uint64(max(now.Sub(e.lastCrash), 0).Milliseconds()),
+			Service: k.service, Fingerprint: uint64(k.fingerprint), CompletedVersions: append([]string(nil), e.completed...),
+			AgeMs: uint64(max(now.Sub(e.lastCrash), 0).Milliseconds()), HeadFingerprint: uint64(e.long.head), BodyBytes: e.long.bytes,
 		}
-		for _, process := range e.crashes {
-			known.Deaths = append(known.Deaths, &apiv1.ProbeServerRequest{Instance: process.Instance, Incarnation: process.Incarnation})
+		for _, c := range e.crashes {
+			known.Crashes = append(known.Crashes, &apiv1.KnownCrash{
+				Instance: c.process.Instance, Incarnation: c.process.Incarnation, Version: c.version, Cleared: c.cleared,
+			})
 		}
 		list = append(list, known)
 	}
@@ -121,16 +126,21 @@
 
 // Merge adds what another node has listed.
 func (s *Store) Merge(list []*apiv1.KnownSuspect, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, known := range list {
 		age := time.Duration(min(known.AgeMs, uint64(TTL.Milliseconds()))) * time.Millisecond
-		if age >= TTL {
+		if age >= TTL || len(known.Crashes) == 0 {
 			continue
 		}
-		for _, death := range known.Deaths {
-			s.RecordCrash(known.Service, Fingerprint(known.Fingerprint), ServerProcess{death.Instance, death.Incarnation}, now.Add(-age))
+		at := now.Add(-age)
+		e := s.activeEntry(key{known.Service, Fingerprint(known.Fingerprint)}, at)
+		e.long = longKey{Fingerprint(known.HeadFingerprint), known.BodyBytes}
+		for _, version := range known.CompletedVersions {
+			e.markCompleted(version)
 		}
-		if known.Cleared {
-			s.RecordCompletion(known.Service, Fingerprint(known.Fingerprint), now)
+		for _, c := range known.Crashes {
+			e.addCrash(crash{process: ServerProcess{c.Instance, c.Incarnation}, version: c.Version, cleared: c.Cleared}, at)
 		}
 	}
 }
@@ -153,7 +163,7 @@
 		return e
 	}
 	if len(s.entries) >= maxEntries {
-		s.evictOldest()
+		s.evict()
 	}
 	e := &entry{lastCrash: now}
 	s.entries[k] = e
@@ -161,7 +171,8 @@
 	return e
 }
 
-func (s *Store) evictOldest() {
+// evict deletes the entry whose last crash is oldest.
+func (s *Store) evict() {
 	var oldest key
 	var last time.Time
 	for k, e := range s.entries {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -41,15 +41,16 @@
 
 // Tracker tracks the suspect requests that this node knows, and exchanges them with the other nodes.
 type Tracker struct {
-	options Options
-	store   *Store
+	options   Options
+	store     *Store
+	completed completedSet
 
 	mu            sync.Mutex
-	recentCrashes []crash
+	recentCrashes []detectedCrash
 }
 
-// crash is a crash of a backend server that this node has detected.
-type crash struct {
+// detectedCrash is a crash of a backend server that this node has detected.
+type detectedCrash struct {
 	process ServerProcess
 	at      time.Time
 }
@@ -72,50 +73,89 @@
 	return !t.store.Empty()
 }
 
-// Blocked reports whether a request must be refused.
-func (t *Tracker) Blocked(service string, fingerprint Fingerprint) bool {
-	return t.store.Blocked(service, fingerprint, t.options.Now())
+// Blocked reports whether a request must be refused at a version of its service. A long body whose end has not been read blocks
+// nothing; HoldLimit tells whether it must be read.
+func (t *Tracker) Blocked(request *Request, version string) bool {
+	if t.store.Empty() {
+		return false
+	}
+	fingerprint, known := request.fingerprint()
+	return known && t.store.Blocked(key{request.Service, fingerprint}, version, t.options.Now())
+}
+
+// HoldLimit returns how many bytes of the body must be read before it is known whether the request is blocked, 0 if none.
+func (t *Tracker) HoldLimit(request *Request) int64 {
+	if request.Long == nil {
+		return 0
+	}
+	return t.store.HoldLimit(request.Service, request.longKey(), t.options.Now())
 }
 
-// ReportCompleted records that a request completed. If the request was suspect, the other nodes are notified
+// ReportCompleted records that a request completed at a version of its service. If it was suspect, the other nodes are notified
 // asynchronously.
-func (t *Tracker) ReportCompleted(service string, fingerprint Fingerprint) {
-	if !t.store.RecordCompletion(service, fingerprint, t.options.Now()) {
+func (t *Tracker) ReportCompleted(request *Request, version string) {
+	fingerprint, known := request.fingerprint()
+	if !known {
+		return
+	}
+	k := key{request.Service, fingerprint}
+	t.completed.add(completedRun{k, version})
+	if !t.store.RecordCompletion(k, version, t.options.Now()) {
 		return
 	}
-	go t.broadcast(context.Background(), &apiv1.SuspectRequest{Service: service, Fingerprint: uint64(fingerprint), Cleared: true})
+	t.options.Logger.Info().Str("service", k.service).Uint64("fingerprint", uint64(fingerprint)).Str("caller", request.Identity.Caller).
+		Str("version", version).Msg("a request that was in flight at a crash has completed")
+	go t.broadcast(context.Background(), &apiv1.SuspectRequest{Service: k.service, Fingerprint: uint64(fingerprint), Version: version, Cleared: true})
 }
 
 // ReportBroken records that an attempt ended without a whole response. If the backend server crashed, the request becomes
 // suspect. The other nodes are notified before ReportBroken returns, unless the crash is known already or belongs to a mass
-// crash.
-func (t *Tracker) ReportBroken(ctx context.Context, service string, fingerprint Fingerprint, server *balance.Server) {
+// crash. The rest of a long body is read to identify the request, until the context ends.
+func (t *Tracker) ReportBroken(ctx context.Context, request *Request, server *balance.Server) {
 	if !t.crashed(ctx, server.Info) {
 		return
 	}
-	process := ServerProcess{server.Info.Instance, server.Info.Incarnation}
+	fingerprint, known := request.wholeFingerprint(ctx)
+	if !known {
+		t.options.Logger.Warn().Str("service", request.Service).Str("caller", request.Identity.Caller).Str("backend_server", server.Info.Instance).
+			Msg("a backend server died with a request in flight whose body ended early")
+		return
+	}
+	report := crashReport{
+		key: key{request.Service, fingerprint}, long: request.longKey(), version: server.Info.Version,
+		process: ServerProcess{server.Info.Instance, server.Info.Incarnation},
+	}
+	report.ranBefore = t.completed.contains(completedRun{report.key, report.version})
 	now := t.options.Now()
-	isNew := t.store.RecordCrash(service, fingerprint, process, now)
-	if isNew && !t.partOfMassCrash(process, now) {
-		t.options.Logger.Warn().Str("service", service).Uint64("fingerprint", uint64(fingerprint)).Str("backend_server", process.Instance).Msg("a backend server died with the request in flight")
-		t.broadcast(ctx, &apiv1.SuspectRequest{
-			Service:     service,
-			Fingerprint: uint64(fingerprint),
-			Instance:    process.Instance,
-			Incarnation: process.Incarnation,
-		})
+	if t.store.RecordCrash(report, now) && !t.partOfMassCrash(report.process, now) {
+		t.options.Logger.Warn().Str("service", report.service).Uint64("fingerprint", uint64(fingerprint)).Str("caller", request.Identity.Caller).
+			Str("backend_server", report.process.Instance).Str("version", report.version).Bool("ran_before", report.ranBefore).
+			Msg("a backend server died with the request in flight")
+		t.broadcast(ctx, report.message())
+	}
+}
+
+// message returns the report as it is sent to other nodes.
+func (r *crashReport) message() *apiv1.SuspectRequest {
+	return &apiv1.SuspectRequest{
+		Service: r.service, Fingerprint: uint64(r.fingerprint), Instance: r.process.Instance, Incarnation: r.process.Incarnation,
+		Version: r.version, RanBefore: r.ranBefore, HeadFingerprint: uint64(r.long.head), BodyBytes: r.long.bytes,
 	}
 }
 
 // HandlePeerReport records a crash or a completion that another node reported.
 func (t *Tracker) HandlePeerReport(request *apiv1.SuspectRequest) {
 	now := t.options.Now()
-	fingerprint := Fingerprint(request.Fingerprint)
+	k := key{request.Service, Fingerprint(request.Fingerprint)}
 	if request.Cleared {
-		t.store.RecordCompletion(request.Service, fingerprint, now)
+		t.store.RecordCompletion(k, request.Version, now)
 		return
 	}
-	t.store.RecordCrash(request.Service, fingerprint, ServerProcess{request.Instance, request.Incarnation}, now)
+	t.store.RecordCrash(crashReport{
+		key: k, long: longKey{Fingerprint(request.HeadFingerprint), request.BodyBytes}, version: request.Version,
+		process:   ServerProcess{request.Instance, request.Incarnation},
+		ranBefore: request.RanBefore || t.completed.contains(completedRun{k, request.Version}),
+	}, now)
 }
 
 // crashed asks the node on the instance of a backend server whether the process is gone. If that node does not respond, the
@@ -135,7 +175,7 @@
 func (t *Tracker) partOfMassCrash(process ServerProcess, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var recent []crash
+	var recent []detectedCrash
 	known := false
 	for _, c := range t.recentCrashes {
 		if now.Sub(c.at) < massCrashWindow {
@@ -144,7 +184,7 @@
 		}
 	}
 	if !known {
-		recent = append(recent, crash{process: process, at: now})
+		recent = append(recent, detectedCrash{process: process, at: now})
 	}
 	t.recentCrashes = recent
 	return len(recent) >= massCrashSize
