Clear a request of the crashes before its response, not of those after it

Cause: a completed response marked the entry of a request as cleared until it expired. Crashes afterwards did not count, also at a new version of the service.

Evidence: before, TestRequestThatCompletedIsRefusedOnceItCrashes had 5 crashes where 3 are allowed, and TestRequestThatRanBeforeItCrashesIsBlocked and TestRequestIsBlockedAtTheVersionThatItCrashes failed.

Why it works: crashes are kept with their version, and a response clears those before it at its version. Three later ones block a request that has completed, so that it may be in flight by chance at two; a node tells with a report whether the request has completed before. Crashes at one version do not refuse a request at another at which it completes.

--- a/internal/ingress/suspects_test.go
+++ b/internal/ingress/suspects_test.go
@@ -186,3 +186,50 @@
 		}
 	}
 }
+
+// TestRequestThatRanBeforeItCrashesIsBlocked guards against a request that is never blocked because it completed earlier: at the
+// version before, or after a crash at which it was in flight by chance.
+func TestRequestThatRanBeforeItCrashesIsBlocked(t *testing.T) {
+	for _, bodies := range crashBodies {
+		t.Run(bodies.name, func(t *testing.T) {
+			s, tracker := newCrashingServers(t), newTestTracker()
+			desk := s.callersOf("desk", tracker)
+			for range 3 {
+				require.Equal(t, http.StatusOK, send(desk, "/lookup/1", bodies.crash, withLength, false))
+			}
+			send(desk, "/lookup/1", bodies.crash, withLength, true)
+			require.Equal(t, http.StatusOK, send(desk, "/lookup/1", bodies.crash, withLength, false), "in flight at one or two crashes")
+			before := s.crashes
+			for range 8 {
+				send(desk, "/lookup/1", bodies.crash, withLength, true)
+			}
+			require.LessOrEqual(t, s.crashes-before, 3)
+
+			s.update(func() { s.version = "v2" })
+			require.Equal(t, http.StatusOK, send(desk, "/lookup/2", bodies.crash, withLength, false))
+			before = s.crashes
+			for range 8 {
+				send(desk, "/lookup/3", bodies.crash, withLength, true)
+			}
+			require.Equal(t, 2, s.crashes-before, "a request that has never completed")
+		})
+	}
+}
+
+// TestRequestIsBlockedAtTheVersionThatItCrashes guards against a new version of a service that a request crashes again and again
+// because the request completed at the old one.
+func TestRequestIsBlockedAtTheVersionThatItCrashes(t *testing.T) {
+	s, tracker := newCrashingServers(t), newTestTracker()
+	desk := s.callersOf("desk", tracker)
+	require.Equal(t, http.StatusOK, send(desk, "/lookup/1", "", withLength, false))
+	send(desk, "/lookup/1", "", withLength, true)
+	require.Equal(t, http.StatusOK, send(desk, "/lookup/1", "", withLength, false))
+	s.update(func() { s.version = "v2" })
+	before := s.crashes
+	for range 8 {
+		send(desk, "/lookup/1", "", withLength, true)
+	}
+	require.LessOrEqual(t, s.crashes-before, 3)
+	s.update(func() { s.version = "v1" })
+	require.Equal(t, http.StatusOK, send(desk, "/lookup/1", "", withLength, false), "the version at which it completes")
+}
--- a/internal/proxy/gate_test.go
+++ b/internal/proxy/gate_test.go
@@ -327,6 +327,30 @@
 	}
 }
 
+// TestRequestThatCompletedIsRefusedOnceItCrashes guards against a request that may crash any number of backend servers because it
+// completed earlier.
+func TestRequestThatCompletedIsRefusedOnceItCrashes(t *testing.T) {
+	const count = 6
+	nodes, crashers := newCrashingGroup(t, count)
+	require.Equal(t, OutcomeDone, nodes[count-1].call(t, "GET", "/rota/1", "").outcome)
+	require.Equal(t, OutcomeUnknown, nodes[0].call(t, "GET", "/rota/1", "", headerCrash, "1").outcome)
+	require.Equal(t, OutcomeDone, nodes[count-1].call(t, "GET", "/rota/1", "").outcome, "in flight at one crash")
+	require.Eventually(t, func() bool {
+		return nodes[1].call(t, "GET", "/rota/1", "").outcome == OutcomeDone
+	}, time.Second, time.Millisecond)
+	for i := 1; i < count; i++ {
+		nodes[i].call(t, "GET", "/rota/1", "", headerCrash, "1")
+	}
+	crashes := 0
+	for _, c := range crashers[1:] {
+		if c.crashed() {
+			crashes++
+		}
+	}
+	require.LessOrEqual(t, crashes, 3)
+	require.Equal(t, http.StatusUnprocessableEntity, nodes[count-1].call(t, "GET", "/rota/1", "").status)
+}
+
 // TestOneCallCrashesAtMostTwoBackendServers lets a node retry an idempotent request that crashes each backend server. The
 // retries within one call must stop after two crashes, although the retry limit permits more.
 func TestOneCallCrashesAtMostTwoBackendServers(t *testing.T) {
--- a/internal/suspect/entry.go
+++ b/internal/suspect/entry.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// blockingCrashes is the number of crashes after which a request is refused.
+	// blockingCrashes is the number of crashes after which a request is refused at a version at which it has never completed.
 	blockingCrashes = 2
+	// blockingCrashesAfterRun is that number for a version at which the request has completed. It may have been in flight by
+	// chance beside the request that crashes, also when that was retried.
+	blockingCrashesAfterRun = 3
 	// maxCrashes bounds the crashes, and maxVersions the versions, that are kept of a request. A service moves from one version
 	// to another.
 	maxCrashes  = 8
@@ -76,9 +79,20 @@
 	return true
 }
 
-// blocked reports whether the request must be refused at a version.
-func (e *entry) blocked(string) bool {
-	return len(e.completed) == 0 && len(e.crashes) >= blockingCrashes
+// blocked reports whether the request must be refused at a version. A request that has completed at no version is taken to crash
+// all of them.
+func (e *entry) blocked(version string) bool {
+	limit := blockingCrashes
+	if slices.Contains(e.completed, version) {
+		limit = blockingCrashesAfterRun
+	}
+	count := 0
+	for _, c := range e.crashes {
+		if !c.cleared && (c.version == version || len(e.completed) == 0) {
+			count++
+		}
+	}
+	return count >= limit
 }
 
 // blockedAnywhere reports whether the request is refused at a version at which it was in flight at a crash.
--- a/internal/suspect/entry_test.go
+++ b/internal/suspect/entry_test.go
@@ -11,6 +11,62 @@
 	apiv1 "samphireflow/api/v1"
 )
 
+// TestCompletionClearsOnlyEarlierCrashes guards against a request that is never blocked again after one completed response.
+func TestCompletionClearsOnlyEarlierCrashes(t *testing.T) {
+	store, now := NewStore(), time.Unix(1000, 0)
+	store.RecordCrash(crashOf(1, "a", 1), now)
+	store.RecordCrash(crashOf(1, "b", 1), now)
+	require.True(t, store.Blocked(key{"rota", 1}, "v1", now))
+	require.True(t, store.RecordCompletion(key{"rota", 1}, "v1", now))
+	require.False(t, store.Blocked(key{"rota", 1}, "v1", now))
+	require.False(t, store.RecordCrash(crashOf(1, "b", 1), now), "a cleared crash that another node reports late")
+	for incarnation := range uint64(3) {
+		require.False(t, store.Blocked(key{"rota", 1}, "v1", now))
+		require.True(t, store.RecordCrash(crashOf(1, "c", incarnation), now))
+	}
+	require.True(t, store.Blocked(key{"rota", 1}, "v1", now))
+	require.True(t, store.RecordCompletion(key{"rota", 1}, "v1", now))
+	require.False(t, store.Blocked(key{"rota", 1}, "v1", now))
+}
+
+// TestRequestIsBlockedByVersion guards against crashes at a new version that are cleared by responses of the old one, and against
+// a request that is refused at the version at which it completes.
+func TestRequestIsBlockedByVersion(t *testing.T) {
+	store, now := NewStore(), time.Unix(1000, 0)
+	store.RecordCrash(crashOf(1, "a", 1), now)
+	require.True(t, store.RecordCompletion(key{"rota", 1}, "v1", now))
+	for incarnation := range uint64(2) {
+		report := crashOf(1, "new", incarnation)
+		report.version = "v2"
+		store.RecordCrash(report, now)
+		require.False(t, store.RecordCompletion(key{"rota", 1}, "v1", now), "other nodes know")
+	}
+	require.True(t, store.Blocked(key{"rota", 1}, "v2", now))
+	require.False(t, store.Blocked(key{"rota", 1}, "v1", now))
+
+	store.RecordCrash(crashOf(2, "a", 1), now)
+	report := crashOf(2, "new", 1)
+	report.version = "v2"
+	store.RecordCrash(report, now)
+	for _, version := range []string{"v1", "v2", "v3"} {
+		require.True(t, store.Blocked(key{"rota", 2}, version, now), "a request that completes nowhere")
+	}
+}
+
+// TestCompletedRequestSurvivesTwoCrashes guards against a request that completes and is refused because it was in flight by chance
+// when a request beside it crashed two backend servers.
+func TestCompletedRequestSurvivesTwoCrashes(t *testing.T) {
+	store, now := NewStore(), time.Unix(1000, 0)
+	for incarnation := range uint64(2) {
+		report := crashOf(1, "a", incarnation)
+		report.ranBefore = true
+		store.RecordCrash(report, now)
+	}
+	require.False(t, store.Blocked(key{"rota", 1}, "v1", now))
+	store.RecordCrash(crashOf(1, "a", 3), now)
+	require.True(t, store.Blocked(key{"rota", 1}, "v1", now))
+}
+
 // TestFingerprintsOfEarlierBuildsMatchNothing guards against reports of nodes of the build before that clear or block requests of
 // this one, and against a start that takes their list for all there is to know.
 func TestFingerprintsOfEarlierBuildsMatchNothing(t *testing.T) {
