Forget blocked requests last

Callers that send ever new bodies beside crashes filled the 4,096 entries, and the oldest was forgotten whether it was blocked or not. Before, TestBlockedRequestsAreEvictedLast failed: the blocked request was sent again after 4,096 younger ones. Now an entry that blocks nothing goes first.

--- a/internal/suspect/entry_test.go
+++ b/internal/suspect/entry_test.go
@@ -67,6 +67,18 @@
 	require.True(t, store.Blocked(key{"rota", 1}, "v1", now))
 }
 
+// TestBlockedRequestsAreEvictedLast guards against a request that is unblocked by callers that send ever new bodies beside it.
+func TestBlockedRequestsAreEvictedLast(t *testing.T) {
+	store, now := NewStore(), time.Unix(1000, 0)
+	store.RecordCrash(crashOf(1, "a", 1), now)
+	store.RecordCrash(crashOf(1, "a", 2), now)
+	for i := range 2 * maxEntries {
+		store.RecordCrash(crashOf(Fingerprint(10+i), "b", uint64(i)), now.Add(time.Duration(i+1)))
+	}
+	require.Len(t, store.entries, maxEntries)
+	require.True(t, store.Blocked(key{"rota", 1}, "v1", now))
+}
+
 // TestFingerprintsOfEarlierBuildsMatchNothing guards against reports of nodes of the build before that clear or block requests of
 // this one, and against a start that takes their list for all there is to know.
 func TestFingerprintsOfEarlierBuildsMatchNothing(t *testing.T) {
--- a/internal/suspect/store.go
+++ b/internal/suspect/store.go
@@ -171,13 +171,16 @@
 	return e
 }
 
-// evict deletes the entry whose last crash is oldest.
+// evict deletes the entry whose last crash is oldest, a blocked one only if all are: callers that send ever new bodies beside a
+// request that crashes must not unblock it.
 func (s *Store) evict() {
 	var oldest key
 	var last time.Time
+	oldestBlocked := true
 	for k, e := range s.entries {
-		if last.IsZero() || e.lastCrash.Before(last) {
-			oldest, last = k, e.lastCrash
+		blocked := e.blockedAnywhere()
+		if last.IsZero() || oldestBlocked && !blocked || blocked == oldestBlocked && e.lastCrash.Before(last) {
+			oldest, last, oldestBlocked = k, e.lastCrash, blocked
 		}
 	}
 	delete(s.entries, oldest)
