Report a long response to the tracker of crashing requests at its end

Callers would have seen backend servers crash again and again of a request whose response is longer than 256 KiB: it was reported as completed once its beginning had arrived, and the crash afterwards was not reported. Found by reading; before, TestResponseThatBreaksOffIsNoCompletion sent the request a third time.

The rest of the response is watched: its end reports the completion, an error before it the broken attempt, before the caller's connection is closed. A caller that has left reports nothing.

--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -115,7 +115,7 @@
 		switch result.Outcome {
 		case calls.Answered:
 			if !d.retryServerError(result) {
-				d.reportCompleted(server, result.Response)
+				d.reportCompleted(ctx, server, result.Response)
 				return result.Response, nil
 			}
 		case calls.NotRun:
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -86,11 +86,22 @@
 	return allowed
 }
 
-// reportCompleted reports the response of a backend server to Suspects, unless it is a server error.
-func (d *dispatch) reportCompleted(server *routing.Server, response *exchange.Response) {
-	if d.suspect != nil && response.Status < http.StatusInternalServerError {
+// reportCompleted reports the response of a backend server to Suspects once it is complete, unless it is a server error.
+func (d *dispatch) reportCompleted(ctx context.Context, server *routing.Server, response *exchange.Response) {
+	if d.suspect == nil || response.Status >= http.StatusInternalServerError {
+		return
+	}
+	if response.Rest == nil {
 		d.ingress.options.Suspects.ReportCompleted(d.suspect, server.Info.Version)
+		return
 	}
+	response.Rest = &observedRest{ReadCloser: response.Rest, onEnd: func(whole bool) {
+		if whole {
+			d.ingress.options.Suspects.ReportCompleted(d.suspect, server.Info.Version)
+		} else if ctx.Err() == nil {
+			d.reportBroken(ctx, server)
+		}
+	}}
 }
 
 // reportBroken reports to Suspects that an attempt broke off. If the backend server crashed with the call in flight, the other
--- a/internal/ingress/suspects_test.go
+++ b/internal/ingress/suspects_test.go
@@ -233,3 +233,37 @@
 	s.update(func() { s.version = "v1" })
 	require.Equal(t, http.StatusOK, send(desk, "/lookup/1", "", withLength, false), "the version at which it completes")
 }
+
+// TestResponseThatBreaksOffIsNoCompletion guards against a request that is cleared by the beginning of a long response in the
+// middle of which its backend server crashes.
+func TestResponseThatBreaksOffIsNoCompletion(t *testing.T) {
+	s, tracker := newCrashingServers(t), newTestTracker()
+	desk := s.callersOf("desk", tracker)
+	crashing := gateFunc(func(_ *calls.Call, instance string, _ time.Time) *calls.Result {
+		result := answeredResult(http.StatusOK, "beginning")
+		result.Response.Length = -1
+		result.Response.Rest = &brokenRest{crash: func() { s.crash(instance) }}
+		result.Response.PieceBytes = 1024
+		return result
+	})
+	desk.options.Gate = crashing
+	for range 2 {
+		require.Panics(t, func() { send(desk, "/lookup/1", "", withLength, false) }, "a response that breaks off must not look complete")
+	}
+	require.Equal(t, 2, s.crashes)
+	require.Equal(t, http.StatusServiceUnavailable, send(desk, "/lookup/1", "", withLength, false))
+}
+
+// brokenRest is the rest of a response during which the backend server crashes.
+type brokenRest struct{ crash func() }
+
+// Read implements io.Reader.
+func (r *brokenRest) Read([]byte) (int, error) {
+	r.crash()
+	return 0, io.ErrUnexpectedEOF
+}
+
+// Close implements io.Closer.
+func (r *brokenRest) Close() error { return nil }
+
+var _ io.ReadCloser = (*brokenRest)(nil)
