Proxy: use no connection again after a refusal without an ID

Callers of the product's own interface would have been told that a booking had not run while it ran, or it ran at a second backend server, if a faulty one wrote an earlier refusal again on a kept connection.

Cause: a backend server may leave out Samphireflow-Call, and then the repeated refusal was taken for the response to the next request. The transport hands a connection on before anybody has looked at the response.

Why it works: exchanges on a connection begin one after the other, and none begins on one on which a refusal without an ID has come. Such an attempt has sent nothing and takes another connection.

--- a/internal/proxy/counting_conn.go
+++ b/internal/proxy/counting_conn.go
@@ -15,6 +15,8 @@
 	written atomic.Int64
 	closing atomic.Bool
 	once    sync.Once
+	// order relates the exchanges on the connection.
+	order exchangeOrder
 	// onClose is called once, on the first Close; onReadError is called when a read fails before Close, mostly because the
 	// other side closed the connection.
 	onClose     func()
@@ -32,6 +34,9 @@
 
 // Write implements net.Conn. It counts the bytes and then sends them.
 func (c *countingConn) Write(data []byte) (int, error) {
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
 	c.written.Add(int64(len(data)))
 	return c.Conn.Write(data)
 }
@@ -48,6 +53,8 @@
 type sendTracker struct {
 	conn          *countingConn
 	writtenBefore int64
+	// retired is set if the attempt got a connection that must not be used.
+	retired bool
 	// connectedAt is the time at which the attempt got its connection.
 	connectedAt time.Time
 	trace       httptrace.ClientTrace
@@ -66,7 +73,22 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		s.conn = c
 		s.writtenBefore = c.written.Load()
+		if !c.order.begin() {
+			s.retired = true
+			_ = c.Close()
+		}
+	}
+}
+
+// end ends the attempt. After a refusal without an ID, which the backend server may write again, its connection is closed.
+func (s *sendTracker) end(refused bool) {
+	if s.conn == nil {
+		return
+	}
+	if refused {
+		_ = s.conn.Close()
 	}
+	s.conn.order.end(refused)
 }
 
 // nothingSent reports whether it is certain that a failed attempt sent no byte. It closes a connection that was not written
--- a/internal/proxy/sender.go
+++ b/internal/proxy/sender.go
@@ -66,17 +66,33 @@
 	return &sender{callIDPrefix: instance + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
 }
 
+// maxRetired is the number of connections in a row that an attempt may get although they must not be used.
+const maxRetired = 8
+
 // roundTrip sends one request and reads the whole response. The body is held in the call's reservation, which the caller
 // releases. An error that matches errNotSent proves that no byte of the request was sent.
-func (s *sender) roundTrip(ctx context.Context, c *call, to *destination) (*bufferedResponse, error) {
+func (s *sender) roundTrip(ctx context.Context, c *call, to *destination) (response *bufferedResponse, err error) {
+	for range maxRetired {
+		retired := false
+		if response, retired, err = s.exchange(ctx, c, to); !retired {
+			break
+		}
+	}
+	return response, err
+}
+
+// exchange is one try of roundTrip. It reports whether it got a connection that must not be used, so that nothing was sent.
+func (s *sender) exchange(ctx context.Context, c *call, to *destination) (got *bufferedResponse, retired bool, err error) {
 	tracker := newSendTracker()
+	refused := false
+	defer func() { tracker.end(refused) }()
 	request := s.newRequest(httptrace.WithClientTrace(ctx, &tracker.trace), c, to)
 	response, err := to.transport.RoundTrip(request)
 	if err != nil {
 		if tracker.nothingSent() {
-			return nil, &notSentError{cause: err}
+			return nil, tracker.retired, &notSentError{cause: err}
 		}
-		return nil, errors.Wrap(err, "round trip")
+		return nil, false, errors.Wrap(err, "round trip")
 	}
 	if err := exchange.CheckStatusLine(response); err != nil {
 		_ = response.Body.Close()
@@ -84,15 +100,18 @@
 			// Nothing that follows on the connection can be trusted.
 			_ = tracker.conn.Close()
 		}
-		return nil, err
+		return nil, false, err
 	}
 	c.memory.release()
 	c.memory = &reservation{memory: &s.memory}
-	got, err := readResponse(request, response, c.memory)
-	if err == nil {
-		got.latency = time.Since(tracker.connectedAt)
+	got, err = readResponse(request, response, c.memory)
+	if err != nil {
+		return nil, false, err
 	}
-	return got, err
+	got.latency = time.Since(tracker.connectedAt)
+	// A gate is a node, which writes each response once.
+	refused = to.target == "" && got.header.Get(HeaderShed) != "" && got.header.Get(HeaderCall) == ""
+	return got, false, nil
 }
 
 // readResponse reads a whole response into reserved memory. It returns an error if the response may be truncated or belong to
