Gate: send a call that its ID does not tell apart on a new connection

Callers of the product's own interface would have been told that a call had not run while it ran, if a faulty backend server wrote an earlier refusal again on a kept connection: a call without an ID took any response, and one whose ID had been refused before took that refusal.

Why it works: a connection on which nothing was sent holds no earlier refusal. On the platform's path each attempt has its own ID, and TestRefusingServerIsNotTriedAgain shows that a node does not try a backend server again that has refused the call.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -54,7 +54,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, notSent(err)
 	}
-	connection, err := c.connect(ctx, addr, request.FreshConn)
+	connection, err := c.connect(ctx, addr, request)
 	if err != nil {
 		return nil, notSent(err)
 	}
@@ -75,9 +75,11 @@
 }
 
 // connect returns an idle connection to the address, or opens one.
-func (c *Client) connect(ctx context.Context, addr string, fresh bool) (*conn, error) {
-	if idle := c.pool.get(addr, fresh, time.Now()); idle != nil {
-		return idle, nil
+func (c *Client) connect(ctx context.Context, addr string, request *Request) (*conn, error) {
+	if !request.NewConn {
+		if idle := c.pool.get(addr, request.FreshConn, time.Now()); idle != nil {
+			return idle, nil
+		}
 	}
 	c.dials.Add(1)
 	netConn, err := c.dial(ctx, "tcp", addr)
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -25,6 +25,9 @@
 	// FreshConn requires a connection that is new or was used a short time ago. It is set for a request that must not run
 	// twice: the server may have closed a connection that was idle for long, which shows only after a request was sent.
 	FreshConn bool
+	// NewConn requires a connection on which nothing has been sent. It is set for a request that its ID does not tell from an
+	// earlier one.
+	NewConn bool
 	// HoldBody is asked whether a response body of the given length, which is above maxBufferedBody, is buffered all the same.
 	// It is nil if none is.
 	HoldBody func(length int64) bool
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -71,6 +71,9 @@
 	options Options
 	client  *exchange.Client
 
+	// refused holds the IDs of calls that were refused by the backend server, not by the gate.
+	refused refusedIDs
+
 	mu sync.Mutex
 	// current is the incarnation of the backend server that the queue belongs to.
 	current serverIncarnation
@@ -414,7 +417,11 @@
 	g.closeBreaker()
 	g.readCold(response.Header)
 	g.observeLoad(queue, response)
-	return g.classify(response)
+	result := g.classify(response)
+	if result.Outcome == calls.NotRun {
+		g.refused.add(c.ID)
+	}
+	return result
 }
 
 // request returns the request to the backend server, with the time that is left until the deadline.
@@ -423,7 +430,10 @@
 	header := c.Header.Clone()
 	header.Set(names.DeadlineMs, strconv.FormatInt(max(c.Deadline.Sub(now).Milliseconds(), 1), 10))
 	header.Set(names.TargetServer, server.instance)
-	return c.Request(header, names.RequestID)
+	request := c.Request(header, names.RequestID)
+	// The backend server may write an earlier refusal again, which only the ID tells from the response.
+	request.NewConn = c.ID == "" || g.refused.contains(c.ID)
+	return request
 }
 
 // exchangeFailure returns the result of a call whose exchange with the backend server failed. A failed connection attempt
