wal: sync the last segment before its records are acted on

An acknowledged change could have been lost: a control instance that was killed between a write and its sync read the record at its next start and acknowledged the entry, which a power loss could still remove.

Now opening the log syncs its last segment, the only one that may hold an unsynced write.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -86,6 +86,9 @@
 			return nil, errors.Wrap(err, "wal: truncate a torn record")
 		}
 	}
+	if err := l.syncLastSegment(contents); err != nil {
+		return nil, err
+	}
 	l.identity = contents.Identity
 	l.segments = contents.Segments
 	l.sequence = contents.lastSequence
@@ -100,6 +103,24 @@
 	return contents, nil
 }
 
+// syncLastSegment makes the records durable that have been read. A process that was killed may have written some that it had not
+// synced, and a power loss must not remove what this one acts on.
+func (l *Log) syncLastSegment(contents *Contents) error {
+	if len(contents.Segments) == 0 {
+		return nil
+	}
+	last := contents.Segments[len(contents.Segments)-1]
+	file, err := l.fs.Append(filepath.Join(l.dir, last.Name))
+	if err != nil {
+		return errors.Wrap(err, "wal: open the last segment")
+	}
+	err = file.Sync()
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "wal: sync the last segment")
+}
+
 func (l *Log) removeTemporaryFiles() error {
 	files, err := listFolder(l.fs, l.dir)
 	if err != nil {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -183,6 +183,38 @@
 	}
 }
 
+// TestRecordsReadAtTheStartSurviveAPowerLoss guards against an instance that acknowledges entries which its earlier process wrote and
+// did not sync before it was killed.
+func TestRecordsReadAtTheStartSurviveAPowerLoss(t *testing.T) {
+	for seed := range uint64(30) {
+		disk := waltest.NewDisk()
+		log, _, err := wal.Open(options(disk))
+		require.NoError(t, err)
+		require.NoError(t, log.Save(nil, entriesBetween(1, 2, 1), true))
+		segment := disk.Files()[len(disk.Files())-1]
+		synced, err := disk.ReadFile(segment)
+		require.NoError(t, err)
+		require.NoError(t, log.Save(nil, entriesBetween(3, 3, 1), true))
+		written, err := disk.ReadFile(segment)
+		require.NoError(t, err)
+		require.NoError(t, log.Close())
+		disk.Replace(segment, synced)
+		unsynced, err := disk.Append(segment)
+		require.NoError(t, err)
+		_, err = unsynced.Write(written[len(synced):])
+		require.NoError(t, err)
+
+		log, contents, err := wal.Open(options(disk))
+		require.NoError(t, err)
+		require.Len(t, contents.State.Entries, 3)
+		disk.PowerLoss(rand.New(rand.NewPCG(seed, 1)))
+		_ = log.Close()
+		after, err := wal.Read(disk, dir)
+		require.NoError(t, err)
+		require.Len(t, after.State.Entries, 3, "seed %d", seed)
+	}
+}
+
 // TestFullDiskDuringAReceivedSnapshot fills the disk up after each possible number of bytes while the log saves a
 // snapshot that the leader has sent.
 func TestFullDiskDuringAReceivedSnapshot(t *testing.T) {
