Control instances pause while their disk is full

Cause: every failure of the log stopped it for good and ended the process. That is right after a failed sync, not after a write that found no room.

Why it works: a paused replica sends nothing, so the others elect a leader, and answers what waits for it: unknown if the entry may be in the log of others, else without effect. Every 200 ms it cuts off what it had not synced and opens its folder as a starting process would. Its state machine stays, and repeated entries are not applied twice. Failed syncs, damage and another owner end the process as before.

--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -28,6 +28,7 @@
 	commit  *prometheus.Desc
 	applied *prometheus.Desc
 	leads   *prometheus.Desc
+	paused  *prometheus.Desc
 	contact *prometheus.Desc
 	moves   *prometheus.Desc
 	members *prometheus.Desc
@@ -46,6 +47,7 @@
 		commit:  newDesc("log_commit_index", "Highest index of the log that is known to be committed."),
 		applied: newDesc("log_applied_index", "Highest index of the log that is applied."),
 		leads:   newDesc("log_leader", "1 while this control instance leads."),
+		paused:  newDesc("log_paused", "1 while this control instance takes no part because its disk is full."),
 		contact: newDesc("log_contact_age_seconds", "Time since a leader or a quorum was heard."),
 		moves:   newDesc("moves_active", "Moves that have not ended."),
 		members: newDesc("members", "Members that hold a lease.", "kind"),
@@ -70,6 +72,7 @@
 	out <- gauge(c.commit, float64(status.Commit))
 	out <- gauge(c.applied, float64(status.Applied))
 	out <- gauge(c.leads, boolValue(status.IsLeader))
+	out <- gauge(c.paused, boolValue(status.Paused))
 	out <- gauge(c.contact, status.LastContact.Seconds())
 	out <- gauge(c.moves, float64(countActiveMoves(view)))
 	out <- gauge(c.members, float64(nodes), "node")
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -12,11 +12,16 @@
 // maxBatchRequests limits the number of requests that share one sync of the data folder.
 const maxBatchRequests = 512
 
-// run is the loop. It runs until Close is called or the storage fails.
-func (r *Replica) run() {
+// run is the loop. It runs until Close is called or the storage fails. While the disk is full, it pauses. OpenErr is the error with
+// which the storage could not be opened, if any.
+func (r *Replica) run(openErr error) {
 	defer close(r.done)
 	defer r.options.Transport.Close()
-	defer r.stopJoinLoop()
+	defer func() { r.stopJoinLoop() }()
+	if openErr != nil && !r.awaitRoom(openErr) {
+		return
+	}
+	r.startJoinLoop()
 	ticker := time.NewTicker(r.options.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -35,8 +40,7 @@
 			task()
 		}
 		r.handleQueuedRequests()
-		if err := r.flush(); err != nil {
-			r.fail(err)
+		if err := r.flush(); err != nil && !r.awaitRoom(err) {
 			return
 		}
 	}
@@ -118,7 +122,7 @@
 		if err := r.log.SaveSnapshot(*ready.Snapshot, true, ready.Snapshot.Index); err != nil {
 			return err
 		}
-		if err := r.restoreState(ready.Snapshot.Data); err != nil {
+		if err := r.restoreState(*ready.Snapshot); err != nil {
 			return err
 		}
 		r.appliedBytes = 0
@@ -130,16 +134,21 @@
 	return r.log.Save(ready.HardState, ready.Entries, ready.MustSync)
 }
 
-// restoreState replaces the state with that of a snapshot. The first snapshot of a new group holds none.
-func (r *Replica) restoreState(data []byte) error {
-	if len(data) == 0 {
+// restoreState replaces the state with that of a snapshot, unless the state is newer. The first snapshot of a new group holds none.
+func (r *Replica) restoreState(snapshot raft.Snapshot) error {
+	if len(snapshot.Data) == 0 || snapshot.Index <= r.appliedIndex {
 		return nil
 	}
-	return errors.Wrap(r.options.StateMachine.Restore(data), "replica: restore a snapshot")
+	r.appliedIndex = snapshot.Index
+	return errors.Wrap(r.options.StateMachine.Restore(snapshot.Data), "replica: restore a snapshot")
 }
 
 func (r *Replica) applyEntries(entries []*apiv1.Entry) {
 	for _, entry := range entries {
+		if entry.Index <= r.appliedIndex {
+			continue
+		}
+		r.appliedIndex = entry.Index
 		var result []byte
 		if entry.Kind == apiv1.EntryKind_ENTRY_KIND_COMMAND {
 			result = r.options.StateMachine.Apply(entry.Index, entry.Term, entry.Data)
@@ -152,6 +161,10 @@
 // snapshotIfDue takes a snapshot and compacts the log once SnapshotEvery entries, or entries with SnapshotBytes of data,
 // were applied since the last one.
 func (r *Replica) snapshotIfDue() error {
+	if r.node.Applied() < r.appliedIndex {
+		// The state machine is ahead, so its state is not the one at this index.
+		return nil
+	}
 	if r.node.Applied() < r.node.SnapshotIndex()+r.options.SnapshotEvery && r.appliedBytes < r.options.SnapshotBytes {
 		return nil
 	}
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -8,8 +8,9 @@
 
 // readRequest is a pending call of ReadIndex.
 type readRequest struct {
-	ctx  context.Context
-	done chan struct{}
+	ctx context.Context
+	// done receives the result.
+	done chan error
 	// index is the log index that must be applied before the read completes. It is valid once confirmed is set.
 	index     uint64
 	confirmed bool
@@ -18,7 +19,7 @@
 // ReadIndex waits until the local state machine has applied everything that was committed before the call, so that a
 // read of it is linearizable. It returns ErrNoQuorum if ctx ends first.
 func (r *Replica) ReadIndex(ctx context.Context) error {
-	request := &readRequest{ctx: ctx, done: make(chan struct{})}
+	request := &readRequest{ctx: ctx, done: make(chan error, 1)}
 	select {
 	case r.reads <- request:
 	case <-ctx.Done():
@@ -27,8 +28,8 @@
 		return r.terminationError()
 	}
 	select {
-	case <-request.done:
-		return nil
+	case err := <-request.done:
+		return err
 	case <-ctx.Done():
 		return errors.Wrap(ErrNoQuorum, ctx.Err().Error())
 	case <-r.done:
@@ -36,6 +37,11 @@
 	}
 }
 
+// complete passes the result to ReadIndex.
+func (r *readRequest) complete(err error) {
+	r.done <- err
+}
+
 // handleRead requests the read's index from the leader. retryReads repeats the request until there is a reply.
 func (r *Replica) handleRead(request *readRequest) {
 	r.lastReadID++
@@ -72,7 +78,7 @@
 	for id, request := range r.pendingReads {
 		if request.confirmed && request.index <= r.node.Applied() {
 			delete(r.pendingReads, id)
-			close(request.done)
+			request.complete(nil)
 		}
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -43,6 +43,9 @@
 	pendingProposals map[uint64]*proposal
 	// appliedBytes is the total data of the entries that were applied since the newest snapshot.
 	appliedBytes int
+	// appliedIndex is the index up to which the state machine holds the state. After the storage was opened again it is ahead of the
+	// Raft node, which repeats the entries; they are not applied twice.
+	appliedIndex uint64
 	// waitingProposals holds the proposals that wait for a leader, and waitingBytes the total of their data.
 	waitingProposals []*proposal
 	waitingBytes     int
@@ -61,32 +64,41 @@
 	stopJoinLoop func()
 }
 
-// Open opens the data folder and starts the replica.
+// Open opens the data folder and starts the replica. If the disk is full, the replica starts once there is room.
 func Open(options Options) (*Replica, error) {
-	options = options.withDefaults()
+	r := newReplica(options.withDefaults())
+	err := r.openStorage()
+	if err != nil && !wal.IsDiskFull(err) {
+		return nil, err
+	}
+	go r.run(err)
+	return r, nil
+}
+
+// openStorage opens the data folder and starts the Raft node from what it holds.
+func (r *Replica) openStorage() error {
 	log, contents, err := wal.Open(wal.Options{
-		FS:           options.FS,
-		Dir:          options.Dir,
-		ClusterID:    options.ClusterID,
-		Name:         options.ID,
-		Identity:     newIdentity(options),
-		SegmentBytes: options.SegmentBytes,
+		FS:           r.options.FS,
+		Dir:          r.options.Dir,
+		ClusterID:    r.options.ClusterID,
+		Name:         r.options.ID,
+		Identity:     newIdentity(r.options),
+		SegmentBytes: r.options.SegmentBytes,
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "replica: open the data folder")
+		return errors.Wrap(err, "replica: open the data folder")
 	}
-	r := newReplica(options, log)
+	r.log = log
 	if err := r.load(contents); err != nil {
+		r.log = nil
 		log.Close()
-		return nil, err
+		return err
 	}
-	r.startJoinLoop()
-	go r.run()
-	return r, nil
+	return nil
 }
 
-func newReplica(options Options, log *wal.Log) *Replica {
-	return &Replica{
+func newReplica(options Options) *Replica {
+	r := &Replica{
 		options:          options,
 		inbox:            make(chan *apiv1.StepRequest, inboxCapacity),
 		proposals:        make(chan *proposal, requestCapacity),
@@ -94,8 +106,6 @@
 		tasks:            make(chan func()),
 		closing:          make(chan struct{}),
 		done:             make(chan struct{}),
-		log:              log,
-		clock:            newTickClock(options.Now()),
 		pendingProposals: map[uint64]*proposal{},
 		pendingReads:     map[uint64]*readRequest{},
 		// A random start keeps a late reply to a read of an earlier run from matching a read of this run.
@@ -104,6 +114,8 @@
 		joinRequests: map[string]joinRequest{},
 		stopJoinLoop: func() {},
 	}
+	r.status.Store(&Status{ID: options.ID, lastContactAt: options.Now()})
+	return r
 }
 
 // newIdentity returns an identity for an empty data folder, drawn from options.Rand. A voter that lost its disk must not
@@ -123,15 +135,32 @@
 
 // load starts the Raft node from the contents of the data folder. If the folder is empty, the replica has no group yet.
 func (r *Replica) load(contents *wal.Contents) error {
-	r.identity = contents.Identity
-	if err := r.restoreState(contents.State.Snapshot.Data); err != nil {
+	if err := r.loadIdentity(contents.Identity); err != nil {
 		return err
 	}
+	if err := r.restoreState(contents.State.Snapshot); err != nil {
+		return err
+	}
+	// After a pause the last contact is as old as before.
+	r.clock = newTickClock(r.status.Load().lastContactAt)
 	r.node = raft.New(r.options.raftConfig(r.identity.Identity), contents.State)
 	r.publishStatus()
 	return nil
 }
 
+// loadIdentity takes over the identity record of the data folder. The identity itself never changes, because joinLoop reads it.
+func (r *Replica) loadIdentity(stored *apiv1.FolderIdentity) error {
+	if r.identity == nil {
+		r.identity = stored
+		return nil
+	}
+	if r.identity.Identity != stored.Identity {
+		return errors.Errorf("replica: the data folder of %s now belongs to %s", r.identity.Identity, stored.Identity)
+	}
+	r.identity.Founder, r.identity.Admitted = stored.Founder, stored.Admitted
+	return nil
+}
+
 // startJoinLoop starts joinLoop for a replica that has no group or that belongs to an open group.
 func (r *Replica) startJoinLoop() {
 	if r.hasGroup() && !r.options.OpenGroup {
@@ -154,6 +183,9 @@
 	}
 	close(r.closing)
 	<-r.done
+	if r.log == nil {
+		return nil
+	}
 	return errors.Wrap(r.log.Close(), "replica: close the data folder")
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -27,6 +27,8 @@
 	// LastContact is the time since a follower received a message from the leader, or the leader messages from a
 	// quorum.
 	LastContact time.Duration
+	// Paused is set while the disk is full.
+	Paused bool
 	// LogBytes is the size of the log on disk, in bytes.
 	LogBytes int64
 	// SnapshotIndex is the index of the newest snapshot.
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -32,3 +33,17 @@
 
 // Unwrap makes errors.Is(err, ErrCorrupt) hold.
 func (e *CorruptError) Unwrap() error { return ErrCorrupt }
+
+// stoppedError is an ErrStopped with its cause.
+type stoppedError struct{ cause error }
+
+// Error returns both messages.
+func (e *stoppedError) Error() string { return ErrStopped.Error() + ": " + e.cause.Error() }
+
+// Unwrap makes errors.Is hold for ErrStopped and for the cause.
+func (e *stoppedError) Unwrap() []error { return []error{ErrStopped, e.cause} }
+
+// IsDiskFull reports whether an error was caused by a disk without room. The log can be opened again once there is some.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -39,7 +39,8 @@
 		return err
 	}
 	l.segmentFile = file
-	l.segments = append(l.segments, Segment{Name: name, Bytes: int64(frameHeaderBytes + len(payload)), LastIndex: l.lastIndex})
+	l.syncedBytes = int64(frameHeaderBytes + len(payload))
+	l.segments = append(l.segments, Segment{Name: name, Bytes: l.syncedBytes, LastIndex: l.lastIndex})
 	return nil
 }
 
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -26,12 +26,14 @@
 	//
 	// Invariant: at most one write of a segment is not synced. A power loss keeps each such write or not, so of two of them
 	// the first may be missing, and a segment with a gap cannot be told from a damaged one.
-	pending   []byte
-	segments  []Segment
-	sequence  uint64
-	hardState raft.HardState
-	lastIndex uint64
-	stopped   bool
+	pending []byte
+	// syncedBytes is the length of the current segment that is synced.
+	syncedBytes int64
+	segments    []Segment
+	sequence    uint64
+	hardState   raft.HardState
+	lastIndex   uint64
+	stopped     bool
 }
 
 // Options configures a Log.
@@ -242,16 +244,27 @@
 		return err
 	}
 	l.currentSegment().LastIndex = l.lastIndex
+	l.syncedBytes = l.currentSegment().Bytes
 	return nil
 }
 
+// DiscardUnsynced removes what was written to the current segment and not synced. It is called after a failure, before the folder is
+// opened again by the same process: whether it would survive a power loss is not known.
+func (l *Log) DiscardUnsynced() error {
+	if !l.stopped || l.segmentFile == nil {
+		return nil
+	}
+	path := filepath.Join(l.dir, l.currentSegment().Name)
+	return errors.Wrap(l.fs.Truncate(path, l.syncedBytes), "wal: discard what was not synced")
+}
+
 // stopOnError stops the log permanently when err is not nil.
 func (l *Log) stopOnError(err error) error {
 	if err == nil {
 		return nil
 	}
 	l.stopped = true
-	return errors.Wrap(ErrStopped, err.Error())
+	return &stoppedError{err}
 }
 
 // Close writes the pending records, closes the current segment and releases the lock on the folder.
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -183,6 +183,29 @@
 	}
 }
 
+// TestUnsyncedRecordsAreDiscarded checks that a process that opens the log again after a full disk acts on nothing that a power loss
+// may remove.
+func TestUnsyncedRecordsAreDiscarded(t *testing.T) {
+	for freeBytes := 0; freeBytes < 200; freeBytes++ {
+		disk := waltest.NewDisk()
+		log, _, err := wal.Open(options(disk))
+		require.NoError(t, err)
+		require.NoError(t, log.Save(nil, entriesBetween(1, 2, 1), true))
+		disk.SetFreeBytes(freeBytes)
+		err = log.Save(nil, entriesBetween(3, 12, 1), true)
+		require.ErrorIs(t, err, wal.ErrStopped)
+		require.True(t, wal.IsDiskFull(err))
+		require.NoError(t, log.DiscardUnsynced())
+		require.NoError(t, log.Close())
+		disk.SetFreeBytes(1 << 20)
+		log, contents, err := wal.Open(options(disk))
+		require.NoError(t, err)
+		require.Len(t, contents.State.Entries, 2)
+		require.NoError(t, log.Save(nil, entriesBetween(3, 3, 1), true))
+		require.NoError(t, log.Close())
+	}
+}
+
 // TestRecordsReadAtTheStartSurviveAPowerLoss guards against an instance that acknowledges entries which its earlier process wrote and
 // did not sync before it was killed.
 func TestRecordsReadAtTheStartSurviveAPowerLoss(t *testing.T) {
--- a/internal/waltest/disk.go
+++ b/internal/waltest/disk.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sort"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -16,7 +17,7 @@
 
 var (
 	// ErrFull is returned by a write for which the disk has too few free bytes.
-	ErrFull = errors.New("waltest: no space left")
+	ErrFull = errors.Wrap(syscall.ENOSPC, "waltest")
 	// ErrSync is returned by a sync while FailSyncs is in effect.
 	ErrSync = errors.New("waltest: sync failed")
 	// ErrPowerLost is returned for a file that was opened before a power loss.
@@ -222,8 +223,12 @@
 func (d *Disk) Truncate(path string, size int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	node := d.files[path]
+	node, ok := d.files[path]
+	if !ok || size > int64(len(node.data)) {
+		return errors.Errorf("waltest: no file %s of %d bytes", path, size)
+	}
 	node.data = node.data[:size:size]
+	node.unsynced = nil
 	node.syncedBytes = int(size)
 	return nil
 }
--- a/test/control/fault_injector_test.go
+++ b/test/control/fault_injector_test.go
@@ -16,7 +16,7 @@
 	f.heal()
 	victim := f.instances[f.random.IntN(len(f.instances))]
 	other := f.instances[f.random.IntN(len(f.instances))]
-	kinds := []string{"power loss", "freeze", "isolate", "one-way in", "one-way out", "noise", "restart", "herd", "disk loss", "failed sync", "full disk"}
+	kinds := []string{"power loss", "freeze", "isolate", "one-way in", "one-way out", "noise", "restart", "herd", "disk loss", "failed sync", "full disk", "full disk in passing"}
 	kind := kinds[f.random.IntN(len(kinds))]
 	f.counts[kind]++
 	switch kind {
@@ -43,6 +43,8 @@
 		}
 	case "failed sync", "full disk":
 		f.breakDisk(victim, kind == "full disk")
+	case "full disk in passing":
+		f.fillDisk(victim)
 	case "disk loss":
 		// A second instance loses its disk as soon as the first one is a voter again.
 		f.loseDisk(victim)
--- a/test/control/group_test.go
+++ b/test/control/group_test.go
@@ -40,6 +40,8 @@
 	diskFrozen bool
 	// diskBroken is true while the disk fails to sync or is full.
 	diskBroken bool
+	// diskFilled is true while the disk is full in passing.
+	diskFilled bool
 }
 
 func (i *instance) running() (*replica.Replica, *state.Machine) {
@@ -138,6 +140,20 @@
 	i.disk.FailSyncs(true)
 }
 
+// fillDisk leaves a disk only a little free space, until heal makes room without a restart of the instance.
+func (g *group) fillDisk(i *instance) {
+	i.diskFilled = true
+	i.disk.SetFreeBytes(g.random.IntN(maxFreeBytes))
+}
+
+// emptyDisk ends the effect of fillDisk.
+func (g *group) emptyDisk(i *instance) {
+	if i.diskFilled {
+		i.diskFilled = false
+		i.disk.SetFreeBytes(1 << 40)
+	}
+}
+
 // repairDisk stops an instance whose disk is broken and repairs the disk. The instance must then start from the data that
 // the disk has kept.
 func (g *group) repairDisk(i *instance) {
@@ -155,6 +171,7 @@
 	g.network.heal()
 	for _, i := range g.instances {
 		g.thawDisk(i)
+		g.emptyDisk(i)
 		g.repairDisk(i)
 		if running, _ := i.running(); running == nil {
 			g.start(i)
