One bounded set of recent values; one way to start groups and connections in tests

The gate's set of refused IDs and the tracker's of completed requests were the same code. No change of behaviour.

--- a/internal/gate/cut_head_test.go
+++ b/internal/gate/cut_head_test.go
@@ -28,7 +28,7 @@
 
 // newCuttingServer starts a server that sends the beginning of a response to each request, once the request has begun to arrive.
 func newCuttingServer(t *testing.T, respond func() string, at *cut) string {
-	return newCutter(t, func(c net.Conn) {
+	return serveConns(t, func(c net.Conn) {
 		_, _ = c.Read(make([]byte, 4<<10))
 		text := respond()
 		_, _ = io.WriteString(c, text[:min(at.after, len(text))])
@@ -36,8 +36,8 @@
 	})
 }
 
-// newCutter starts a server that handles each connection by a function.
-func newCutter(t *testing.T, handle func(c net.Conn)) string {
+// serveConns handles each connection of a new listener by a function, and returns the listener's address.
+func serveConns(t *testing.T, handle func(c net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -167,7 +167,7 @@
 
 // TestGateThatDiesInItsResponseGivesNoResult lets the connection between two nodes end anywhere in the response of a real gate.
 func TestGateThatDiesInItsResponseGivesNoResult(t *testing.T) {
-	backend := newCutter(t, func(c net.Conn) {
+	backend := serveConns(t, func(c net.Conn) {
 		_, _ = c.Read(make([]byte, 4<<10))
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSamphireflow-Request-Id: 1\r\nContent-Length: 12\r\n\r\ntwelve bytes")
 		_ = c.Close()
@@ -180,7 +180,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	at := &cut{}
-	between := newCutter(t, func(c net.Conn) {
+	between := serveConns(t, func(c net.Conn) {
 		behind, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			_ = c.Close()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -16,6 +17,7 @@
 	"samphireflow/internal/calls"
 	"samphireflow/internal/exchange"
 	"samphireflow/internal/link"
+	"samphireflow/internal/recent"
 )
 
 const (
@@ -29,6 +31,8 @@
 	defaultSlots = 10
 	// repeatedWeight makes the share of retries follow about the last 20 runs, those of a second at a busy backend server.
 	repeatedWeight = 0.05
+	// refusedIDCapacity is the number of refused calls that a gate remembers at least: those of some seconds of overload.
+	refusedIDCapacity = 1024
 	// deadlineGrace is the time after the deadline for which the gate still waits for the backend server, which may respond
 	// to the missed deadline itself.
 	deadlineGrace = 50 * time.Millisecond
@@ -71,8 +75,9 @@
 	options Options
 	client  *exchange.Client
 
-	// refused holds the IDs of calls that were refused by the backend server, not by the gate.
-	refused refusedIDs
+	// refusedIDs holds the hashes of the IDs of calls that were refused by the backend server, not by the gate. Callers choose how
+	// long IDs are.
+	refusedIDs *recent.Set[uint64]
 
 	mu sync.Mutex
 	// current is the incarnation of the backend server that the queue belongs to.
@@ -104,7 +109,7 @@
 func New(options Options) *Gate {
 	return &Gate{
 		options: options, client: exchange.NewClient(dialTimeout), queue: NewQueue(defaultSlots),
-		cold: coldState{pace: NewPace(options.Now())},
+		cold: coldState{pace: NewPace(options.Now())}, refusedIDs: recent.NewSet[uint64](refusedIDCapacity),
 	}
 }
 
@@ -419,7 +424,7 @@
 	g.observeLoad(queue, response)
 	result := g.classify(response)
 	if result.Outcome == calls.NotRun {
-		g.refused.add(c.ID)
+		g.refusedIDs.Add(xxhash.Sum64String(c.ID))
 	}
 	return result
 }
@@ -432,7 +437,7 @@
 	header.Set(names.TargetServer, server.instance)
 	request := c.Request(header, names.RequestID)
 	// The backend server may write an earlier refusal again, which only the ID tells from the response.
-	request.NewConn = c.ID == "" || g.refused.contains(c.ID)
+	request.NewConn = c.ID == "" || g.refusedIDs.Contains(xxhash.Sum64String(c.ID))
 	return request
 }
 
--- a/internal/gate/repeated_refusal_test.go
+++ b/internal/gate/repeated_refusal_test.go
@@ -19,9 +19,6 @@
 // newRepeater starts a backend server that refuses the first request on each connection and writes that refusal again before it runs
 // each of the next ones. The refusals bear the ID that bearing returns for the one of their request. It counts the runs.
 func newRepeater(t *testing.T, bearing func(id string) string) (addr string, runs *atomic.Int64) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	runs = &atomic.Int64{}
 	names := calls.DefaultHeaders()
 	serve := func(c net.Conn) {
@@ -48,16 +45,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+names.RequestID+": "+id+"\r\nContent-Length: 2\r\n\r\nok")
 		}
 	}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return listener.Addr().String(), runs
+	return serveConns(t, serve), runs
 }
 
 // TestRepeatedRefusalIsNoResponse guards against a call that is said not to have run because its backend server has written an
--- a/internal/proxy/cut_head_test.go
+++ b/internal/proxy/cut_head_test.go
@@ -15,7 +15,7 @@
 
 // cuttingServer is a backend server that sends the beginning of a response and then closes or resets the connection.
 type cuttingServer struct {
-	listener net.Listener
+	addr string
 
 	mu    sync.Mutex
 	text  string
@@ -23,19 +23,8 @@
 }
 
 func newCuttingServer(t *testing.T) *cuttingServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &cuttingServer{listener: listener}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	s := &cuttingServer{}
+	s.addr = serveConns(t, s.serve)
 	return s
 }
 
@@ -81,7 +70,7 @@
 	for name, text := range cutResponses {
 		t.Run(name, func(t *testing.T) {
 			server := newCuttingServer(t)
-			addr := server.listener.Addr().String()
+			addr := server.addr
 			gate := newNamedTestGate(t, "a", addr, 10, 130)
 			direct := newTestProxy(t, Options{Recorder: discardRecorder{}}, defaultSettings(), serverInfo("a", addr))
 			throughGate := newTestProxy(t, Options{Recorder: discardRecorder{}}, defaultSettings(), gate.info)
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -184,6 +184,23 @@
 	}
 }
 
+// serveConns handles each connection of a new listener by a function, and returns the listener's address.
+func serveConns(t testing.TB, handle func(c net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // newHolders returns the configuration and the clients of the claim holders of one failure domain, without a network.
--- a/internal/proxy/repeated_refusal_test.go
+++ b/internal/proxy/repeated_refusal_test.go
@@ -18,7 +18,7 @@
 // repeater is a backend server that refuses the first request on each connection and writes that refusal again on the same
 // connection later.
 type repeater struct {
-	listener net.Listener
+	addr string
 	// withID is set if refusals bear the ID of their request.
 	withID bool
 	// again says when the refusal is written again.
@@ -42,19 +42,8 @@
 )
 
 func newRepeater(t *testing.T, again repeatTime, withID bool) *repeater {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	r := &repeater{listener: listener, withID: withID, again: again, runs: map[string]int{}}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(c)
-		}
-	}()
+	r := &repeater{withID: withID, again: again, runs: map[string]int{}}
+	r.addr = serveConns(t, r.serve)
 	return r
 }
 
@@ -113,11 +102,11 @@
 			for _, throughGate := range []bool{false, true} {
 				t.Run(fmt.Sprint(again, withID, throughGate), func(t *testing.T) {
 					a, b := newRepeater(t, again, withID), newRepeater(t, again, withID)
-					infos := []*apiv1.BackendServer{serverInfo("a", a.listener.Addr().String()), serverInfo("b", b.listener.Addr().String())}
+					infos := []*apiv1.BackendServer{serverInfo("a", a.addr), serverInfo("b", b.addr)}
 					if throughGate {
 						infos = nil
 						for name, r := range map[string]*repeater{"a": a, "b": b} {
-							infos = append(infos, newNamedTestGate(t, name, r.listener.Addr().String(), 10, 130).info)
+							infos = append(infos, newNamedTestGate(t, name, r.addr, 10, 130).info)
 						}
 					}
 					p := newTestProxy(t, Options{Recorder: discardRecorder{}}, defaultSettings(), infos...)
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -4,16 +4,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/waltest"
 )
 
@@ -28,34 +24,16 @@
 // startDiskGroup starts a group. The disk of the instance with the number full has no room at its first start, -1 for none.
 func startDiskGroup(t *testing.T, count, full int) *diskGroup {
 	g := &diskGroup{}
-	var members []Member
-	var listeners []net.Listener
-	for i := range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		listeners = append(listeners, listener)
-		members = append(members, Member{ID: fmt.Sprintf("c%d", i), ControlAddr: listener.Addr().String()})
+	for range count {
 		g.disks = append(g.disks, waltest.NewDisk())
 	}
 	if full >= 0 {
 		g.disks[full].SetFreeBytes(0)
 	}
-	for i, member := range members {
-		r, err := Open(Options{
-			ID: member.ID, ClusterID: "test", Dir: "/data", InitialMembers: members, StateMachine: &recordingStateMachine{}, FS: g.disks[i],
-			Transport: NewTwirpTransport(TwirpOptions{ClusterID: "test", OwnAddr: member.ControlAddr, Logger: zerolog.Nop()}),
-			Logger:    zerolog.Nop(), SnapshotEvery: 8, RetainedEntries: 4, SegmentBytes: 4096,
-		})
-		require.NoError(t, err)
-		g.replicas = append(g.replicas, r)
-		server := &http.Server{Handler: apiv1.NewReplicationServer(r.ReplicationServer()), Protocols: &http.Protocols{}}
-		server.Protocols.SetUnencryptedHTTP2(true)
-		go server.Serve(listeners[i])
-		t.Cleanup(func() {
-			server.Close()
-			r.Close()
-		})
-	}
+	g.replicas = startTwirpGroup(t, count, func(number int, options *Options) {
+		options.FS, options.Dir = g.disks[number], "/data"
+		options.SnapshotEvery, options.RetainedEntries, options.SegmentBytes = 8, 4, 4096
+	})
 	return g
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -16,8 +16,9 @@
 
 const testTimeout = 20 * time.Second
 
-// startTwirpGroup starts a group of replicas that communicate over the loopback interface.
-func startTwirpGroup(t *testing.T, count int) []*Replica {
+// startTwirpGroup starts a group of replicas that communicate over the loopback interface. Configure changes the options of the one
+// with the given number.
+func startTwirpGroup(t *testing.T, count int, configure func(number int, options *Options)) []*Replica {
 	var members []Member
 	var listeners []net.Listener
 	for i := 0; i < count; i++ {
@@ -28,11 +29,13 @@
 	}
 	var replicas []*Replica
 	for i, member := range members {
-		r, err := Open(Options{
+		options := Options{
 			ID: member.ID, ClusterID: "test", Dir: t.TempDir(), InitialMembers: members, StateMachine: &recordingStateMachine{},
 			Transport: NewTwirpTransport(TwirpOptions{ClusterID: "test", OwnAddr: member.ControlAddr, Logger: zerolog.Nop()}),
 			Logger:    zerolog.Nop(),
-		})
+		}
+		configure(i, &options)
+		r, err := Open(options)
 		require.NoError(t, err)
 		replicas = append(replicas, r)
 		server := &http.Server{Handler: apiv1.NewReplicationServer(r.ReplicationServer()), Protocols: &http.Protocols{}}
@@ -65,7 +68,7 @@
 
 func TestReplicasOverTwirpAgreeOnLog(t *testing.T) {
 	for _, count := range []int{1, 3} {
-		replicas := startTwirpGroup(t, count)
+		replicas := startTwirpGroup(t, count, func(int, *Options) {})
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		for i := 0; i < 10; i++ {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -12,6 +12,7 @@
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/balance"
 	"samphireflow/internal/periodic"
+	"samphireflow/internal/recent"
 )
 
 const (
@@ -26,6 +27,8 @@
 	massCrashSize   = 3
 	// probeTimeout bounds the probe whether a backend server is alive.
 	probeTimeout = 200 * time.Millisecond
+	// completedCapacity is the number of completed requests that a node remembers at least: those of seconds at the busiest node.
+	completedCapacity = 2048
 	// sweepInterval is the time between two deletions of expired requests.
 	sweepInterval = time.Minute
 )
@@ -43,12 +46,18 @@
 type Tracker struct {
 	options   Options
 	store     *Store
-	completed completedSet
+	completed *recent.Set[completedRun]
 
 	mu            sync.Mutex
 	recentCrashes []detectedCrash
 }
 
+// completedRun is a request that has completed at a version of its service.
+type completedRun struct {
+	key
+	version string
+}
+
 // detectedCrash is a crash of a backend server that this node has detected.
 type detectedCrash struct {
 	process ServerProcess
@@ -57,7 +66,7 @@
 
 // NewTracker returns a tracker that suspects no request.
 func NewTracker(options Options) *Tracker {
-	return &Tracker{options: options, store: NewStore()}
+	return &Tracker{options: options, store: NewStore(), completed: recent.NewSet[completedRun](completedCapacity)}
 }
 
 // Run learns from other nodes which requests are suspect, then deletes expired requests until the context ends.
@@ -99,7 +108,7 @@
 		return
 	}
 	k := key{request.Service, fingerprint}
-	t.completed.add(completedRun{k, version})
+	t.completed.Add(completedRun{k, version})
 	if !t.store.RecordCompletion(k, version, t.options.Now()) {
 		return
 	}
@@ -125,7 +134,7 @@
 		key: key{request.Service, fingerprint}, long: request.longKey(), version: server.Info.Version,
 		process: ServerProcess{server.Info.Instance, server.Info.Incarnation},
 	}
-	report.ranBefore = t.completed.contains(completedRun{report.key, report.version})
+	report.ranBefore = t.completed.Contains(completedRun{report.key, report.version})
 	now := t.options.Now()
 	if t.store.RecordCrash(report, now) && !t.partOfMassCrash(report.process, now) {
 		t.options.Logger.Warn().Str("service", report.service).Uint64("fingerprint", uint64(fingerprint)).Str("caller", request.Identity.Caller).
@@ -154,7 +163,7 @@
 	t.store.RecordCrash(crashReport{
 		key: k, long: longKey{Fingerprint(request.HeadFingerprint), request.BodyBytes}, version: request.Version,
 		process:   ServerProcess{request.Instance, request.Incarnation},
-		ranBefore: request.RanBefore || t.completed.contains(completedRun{k, request.Version}),
+		ranBefore: request.RanBefore || t.completed.Contains(completedRun{k, request.Version}),
 	}, now)
 }
 
