Hold crashes of runs that were in flight side by side against a request once

Callers would have been refused for 10 minutes a request that did nothing wrong, if two backend servers crashed at one moment with it in flight at both.

Cause: each crash counted, whether or not one run had begun after the other's crash.

Why it works: a report carries how many crashes its node held against the request when the run began. Crashes with the same number count once. A retry begins after the crash before it is recorded, so a request that causes crashes is blocked after two as before.

--- a/internal/ingress/dispatch.go
+++ b/internal/ingress/dispatch.go
@@ -72,6 +72,8 @@
 	// retryAfter is the shortest time after which a gate would admit the call.
 	retryAfter time.Duration
 	last       *calls.Result
+	// began is the beginning of the last attempt.
+	began time.Time
 	// attempts lists all attempts, for the decision on the call and for the log.
 	attempts attemptList
 }
@@ -203,6 +205,7 @@
 func (d *dispatch) send(ctx context.Context, server *routing.Server) *calls.Result {
 	info := server.Info
 	began := d.ingress.options.Now()
+	d.began = began
 	server.Stats.Begin(began)
 	d.call.Repeated = d.sends > 0
 	var result *calls.Result
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -27,7 +27,7 @@
 	Blocked(request *suspect.Request, version string) bool
 	// HoldLimit returns how many bytes of a long body must be read before Blocked can tell, 0 if none.
 	HoldLimit(request *suspect.Request) int64
-	ReportBroken(ctx context.Context, request *suspect.Request, server *routing.Server)
+	ReportBroken(ctx context.Context, request *suspect.Request, server *routing.Server, run suspect.Run)
 	ReportCompleted(request *suspect.Request, version string)
 }
 
--- a/internal/ingress/suspects.go
+++ b/internal/ingress/suspects.go
@@ -108,6 +108,6 @@
 // nodes are notified before the caller can retry.
 func (d *dispatch) reportBroken(ctx context.Context, server *routing.Server) {
 	if d.suspect != nil {
-		d.ingress.options.Suspects.ReportBroken(ctx, d.suspect, server)
+		d.ingress.options.Suspects.ReportBroken(ctx, d.suspect, server, suspect.Run{Began: d.began, Ended: d.ingress.options.Now()})
 	}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -7,6 +7,7 @@
 
 	"samphireflow/internal/balance"
 	"samphireflow/internal/routing"
+	"samphireflow/internal/suspect"
 )
 
 // attemptOutcome is the outcome of one attempt.
@@ -40,7 +41,7 @@
 	p.recordAttempt(c, server, &r, started, now, ctx.Err())
 	p.queues.get(server.Info.Service, server.Info.Version).Wake()
 	if r.outcome == attemptBroken && ctx.Err() == nil {
-		p.reportBroken(ctx, c, server)
+		p.reportBroken(ctx, c, server, suspect.Run{Began: started, Ended: now})
 	}
 	return r
 }
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -14,7 +14,7 @@
 	Blocked(request *suspect.Request, version string) bool
 	// ReportBroken reports an attempt that ended without a whole response. If the backend server has crashed, it returns after
 	// the other nodes have been notified.
-	ReportBroken(ctx context.Context, request *suspect.Request, server *routing.Server)
+	ReportBroken(ctx context.Context, request *suspect.Request, server *routing.Server, run suspect.Run)
 	// ReportCompleted reports that a request got a whole response from a version of its service.
 	ReportCompleted(request *suspect.Request, version string)
 }
@@ -72,8 +72,8 @@
 
 // reportBroken reports an attempt without a whole response. It does not wait for the report, so that the call can already
 // be retried.
-func (p *Proxy) reportBroken(ctx context.Context, c *call, server *routing.Server) {
+func (p *Proxy) reportBroken(ctx context.Context, c *call, server *routing.Server, run suspect.Run) {
 	if suspects := p.options.Suspects; suspects != nil {
-		c.pendingReports.Go(func() { suspects.ReportBroken(ctx, c.suspect, server) })
+		c.pendingReports.Go(func() { suspects.ReportBroken(ctx, c.suspect, server, run) })
 	}
 }
--- a/internal/suspect/entry.go
+++ b/internal/suspect/entry.go
@@ -29,6 +29,12 @@
 	version string
 	// cleared is set once the request has completed at the version afterwards.
 	cleared bool
+	// generation is one more than the number of crashes held against the request when the run began, 0 if that is not known. Runs
+	// that were in flight side by side are of one generation, and their crashes are held against the request once: several backend
+	// servers may crash at a time for another reason.
+	generation uint32
+	// recorded is when this node came to know of the crash.
+	recorded time.Time
 }
 
 // entry describes one suspect request.
@@ -79,6 +85,11 @@
 	return true
 }
 
+// generationOf returns the generation of a run at a version that began at a time of this node.
+func (e *entry) generationOf(version string, began time.Time) uint32 {
+	return 1 + uint32(e.heldAgainst(version, &began))
+}
+
 // blocked reports whether the request must be refused at a version. A request that has completed at no version is taken to crash
 // all of them.
 func (e *entry) blocked(version string) bool {
@@ -86,13 +97,24 @@
 	if slices.Contains(e.completed, version) {
 		limit = blockingCrashesAfterRun
 	}
+	return e.heldAgainst(version, nil) >= limit
+}
+
+// heldAgainst returns the number of crashes that are held against the request at a version, of those recorded by a time if there is
+// one.
+func (e *entry) heldAgainst(version string, by *time.Time) int {
 	count := 0
+	generations := map[uint32]bool{}
 	for _, c := range e.crashes {
-		if !c.cleared && (c.version == version || len(e.completed) == 0) {
+		if c.cleared || c.version != version && len(e.completed) > 0 || by != nil && c.recorded.After(*by) {
+			continue
+		}
+		if c.generation == 0 || !generations[c.generation] {
 			count++
 		}
+		generations[c.generation] = true
 	}
-	return count >= limit
+	return count
 }
 
 // blockedAnywhere reports whether the request is refused at a version at which it was in flight at a crash.
--- a/internal/suspect/store.go
+++ b/internal/suspect/store.go
@@ -37,8 +37,15 @@
 	version string
 	// ranBefore is set if the request is known to have completed at the version before.
 	ranBefore bool
+	// run is when the run began and ended, if it was a run of this node.
+	run Run
+	// generation is that of a run of another node; see crash.
+	generation uint32
 }
 
+// Run is the time of an attempt that broke off.
+type Run struct{ Began, Ended time.Time }
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{entries: map[key]*entry{}}
@@ -49,9 +56,9 @@
 	return s.size.Load() == 0
 }
 
-// RecordCrash records that a request was in flight when a backend server crashed. It reports whether that was not known
-// before: a crash that several nodes report counts once.
-func (s *Store) RecordCrash(report crashReport, now time.Time) bool {
+// RecordCrash records that a request was in flight when a backend server crashed. It returns the generation of the run, and reports
+// whether the crash was not known before: one that several nodes report counts once.
+func (s *Store) RecordCrash(report crashReport, now time.Time) (generation uint32, isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.activeEntry(report.key, now)
@@ -59,7 +66,12 @@
 	if report.ranBefore {
 		e.markCompleted(report.version)
 	}
-	return e.addCrash(crash{process: report.process, version: report.version}, now)
+	c := crash{process: report.process, version: report.version, generation: report.generation, recorded: now}
+	if !report.run.Began.IsZero() {
+		// A retry may begin before the report of the attempt before it.
+		c.generation, c.recorded = e.generationOf(report.version, report.run.Began), report.run.Ended
+	}
+	return c.generation, e.addCrash(c, now)
 }
 
 // RecordCompletion records that a suspect request has completed at a version of the service. It reports whether other nodes
@@ -116,7 +128,7 @@
 		}
 		for _, c := range e.crashes {
 			known.Crashes = append(known.Crashes, &apiv1.KnownCrash{
-				Instance: c.process.Instance, Incarnation: c.process.Incarnation, Version: c.version, Cleared: c.cleared,
+				Instance: c.process.Instance, Incarnation: c.process.Incarnation, Version: c.version, Cleared: c.cleared, Generation: c.generation,
 			})
 		}
 		list = append(list, known)
@@ -140,7 +152,9 @@
 			e.markCompleted(version)
 		}
 		for _, c := range known.Crashes {
-			e.addCrash(crash{process: ServerProcess{c.Instance, c.Incarnation}, version: c.Version, cleared: c.Cleared}, at)
+			e.addCrash(crash{
+				process: ServerProcess{c.Instance, c.Incarnation}, version: c.Version, cleared: c.Cleared, generation: c.Generation, recorded: at,
+			}, at)
 		}
 	}
 }
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -120,7 +120,7 @@
 // ReportBroken records that an attempt ended without a whole response. If the backend server crashed, the request becomes
 // suspect. The other nodes are notified before ReportBroken returns, unless the crash is known already or belongs to a mass
 // crash. The rest of a long body is read to identify the request, for skipTimeout at most.
-func (t *Tracker) ReportBroken(ctx context.Context, request *Request, server *balance.Server) {
+func (t *Tracker) ReportBroken(ctx context.Context, request *Request, server *balance.Server, run Run) {
 	if !t.crashed(ctx, server.Info) {
 		return
 	}
@@ -132,14 +132,16 @@
 	}
 	report := crashReport{
 		key: key{request.Service, fingerprint}, long: request.longKey(), version: server.Info.Version,
-		process: ServerProcess{server.Info.Instance, server.Info.Incarnation},
+		process: ServerProcess{server.Info.Instance, server.Info.Incarnation}, run: run,
 	}
 	report.ranBefore = t.completed.Contains(completedRun{report.key, report.version})
 	now := t.options.Now()
-	if t.store.RecordCrash(report, now) && !t.partOfMassCrash(report.process, now) {
+	generation, isNew := t.store.RecordCrash(report, now)
+	if isNew && !t.partOfMassCrash(report.process, now) {
 		t.options.Logger.Warn().Str("service", report.service).Uint64("fingerprint", uint64(fingerprint)).Str("caller", request.Identity.Caller).
-			Str("backend_server", report.process.Instance).Str("version", report.version).Bool("ran_before", report.ranBefore).
+			Str("backend_server", report.process.Instance).Str("version", report.version).Bool("ran_before", report.ranBefore).Uint32("generation", generation).
 			Msg("a backend server died with the request in flight")
+		report.generation = generation
 		t.broadcast(ctx, report.message())
 	}
 }
@@ -149,6 +151,7 @@
 	return &apiv1.SuspectRequest{
 		Service: r.service, Fingerprint: uint64(r.fingerprint), Instance: r.process.Instance, Incarnation: r.process.Incarnation,
 		Version: r.version, RanBefore: r.ranBefore, HeadFingerprint: uint64(r.long.head), BodyBytes: r.long.bytes,
+		Generation: r.generation,
 	}
 }
 
@@ -162,7 +165,7 @@
 	}
 	t.store.RecordCrash(crashReport{
 		key: k, long: longKey{Fingerprint(request.HeadFingerprint), request.BodyBytes}, version: request.Version,
-		process:   ServerProcess{request.Instance, request.Incarnation},
+		process: ServerProcess{request.Instance, request.Incarnation}, generation: request.Generation,
 		ranBefore: request.RanBefore || t.completed.Contains(completedRun{k, request.Version}),
 	}, now)
 }
