wal: sync the folder between two segments that are removed

Cause: segments are removed oldest first, and the folder was synced once at the end. A power loss may undo the first removal alone.

--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -45,9 +45,15 @@
 }
 
 // removeObsoleteFiles removes the oldest segments whose last entry is not after index, except the current segment, and
-// all snapshots except the newest.
+// all snapshots except the newest. It syncs the folder between two segments: a power loss that brings back the first of them alone
+// would leave a gap.
 func (l *Log) removeObsoleteFiles(index uint64) error {
-	for len(l.segments) > 1 && l.segments[0].LastIndex <= index {
+	for removed := 0; len(l.segments) > 1 && l.segments[0].LastIndex <= index; removed++ {
+		if removed > 0 {
+			if err := l.fs.SyncDir(l.dir); err != nil {
+				return err
+			}
+		}
 		if err := l.fs.Remove(filepath.Join(l.dir, l.segments[0].Name)); err != nil {
 			return err
 		}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -238,6 +238,43 @@
 	}
 }
 
+// TestPowerLossWhileSegmentsAreRemoved guards against a folder that is refused as corrupt after the power was lost in the middle of a
+// snapshot: of several segments that are removed, the later one may be gone and the earlier one still there.
+func TestPowerLossWhileSegmentsAreRemoved(t *testing.T) {
+	for changes := 0; ; changes++ {
+		whole := false
+		for seed := range uint64(20) {
+			disk := waltest.NewDisk()
+			for range 4 {
+				log, _, err := wal.Open(options(disk))
+				require.NoError(t, err)
+				last := uint64(len(readAll(t, disk).State.Entries))
+				require.NoError(t, log.Save(nil, entriesBetween(last+1, last+2, 1), true))
+				require.NoError(t, log.Close())
+			}
+			log, _, err := wal.Open(options(disk))
+			require.NoError(t, err)
+			disk.FailPowerAfter(changes)
+			whole = log.SaveSnapshot(raft.Snapshot{Index: 8, Term: 1, Data: []byte("state")}, false, 8) == nil
+			disk.PowerLoss(rand.New(rand.NewPCG(seed, uint64(changes))))
+			log, contents, err := wal.Open(options(disk))
+			require.NoError(t, err, "%d changes, seed %d", changes, seed)
+			require.EqualValues(t, 8, contents.State.Snapshot.Index+uint64(len(contents.State.Entries)))
+			require.NoError(t, log.Close())
+		}
+		if whole {
+			return
+		}
+	}
+}
+
+// readAll reads the folder.
+func readAll(t *testing.T, disk *waltest.Disk) *wal.Contents {
+	contents, err := wal.Read(disk, dir)
+	require.NoError(t, err)
+	return contents
+}
+
 // TestFullDiskDuringAReceivedSnapshot fills the disk up after each possible number of bytes while the log saves a
 // snapshot that the leader has sent.
 func TestFullDiskDuringAReceivedSnapshot(t *testing.T) {
--- a/internal/waltest/disk.go
+++ b/internal/waltest/disk.go
@@ -35,6 +35,9 @@
 	powerLosses int
 	freeBytes   int
 	failSyncs   bool
+	// changesLeft is the number of changes that the disk still makes before its power fails, if powerFails is set.
+	powerFails  bool
+	changesLeft int
 	syncs       int
 	// thawed is closed unless the disk is frozen.
 	thawed chan struct{}
@@ -81,14 +84,22 @@
 }
 
 // PowerLoss keeps everything that was synced, and of the rest a part that it chooses at random: its beginning, or of each later
-// write all, nothing or the beginning. It invalidates open files and releases all locks.
+// write all, nothing or the beginning, and each change of a name or not. It invalidates open files and releases all locks.
 func (d *Disk) PowerLoss(random *rand.Rand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.powerLosses++
+	d.powerFails = false
 	d.locks = map[string]bool{}
-	if random.IntN(2) == 0 {
-		d.durableFiles = copyFiles(d.files)
+	for _, name := range sortedPaths(d.changedNames()) {
+		if random.IntN(2) == 0 {
+			continue
+		}
+		if node := d.files[name]; node != nil {
+			d.durableFiles[name] = node
+		} else {
+			delete(d.durableFiles, name)
+		}
 	}
 	d.files = map[string]*inode{}
 	for _, name := range sortedPaths(d.durableFiles) {
@@ -99,6 +110,20 @@
 	d.durableFiles = copyFiles(d.files)
 }
 
+// changedNames returns the names that were created, renamed or removed since the last sync of the folder. A power loss keeps each of
+// these changes or not, whatever it does with the others.
+func (d *Disk) changedNames() map[string]*inode {
+	changed := map[string]*inode{}
+	for _, files := range []map[string]*inode{d.files, d.durableFiles} {
+		for name, node := range files {
+			if d.files[name] != d.durableFiles[name] {
+				changed[name] = node
+			}
+		}
+	}
+	return changed
+}
+
 // afterPowerLoss returns the data that a power loss leaves of a file. Where a write is missing and a later one is not, the file
 // has zeros.
 func (n *inode) afterPowerLoss(random *rand.Rand) []byte {
@@ -133,6 +158,25 @@
 	d.freeBytes = bytes
 }
 
+// FailPowerAfter lets the disk make a number of further changes. Later ones fail without effect, until PowerLoss.
+func (d *Disk) FailPowerAfter(changes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.powerFails, d.changesLeft = true, changes
+}
+
+// change is called before each change of the disk. It fails once the power has failed.
+func (d *Disk) change() error {
+	if !d.powerFails {
+		return nil
+	}
+	if d.changesLeft == 0 {
+		return ErrPowerLost
+	}
+	d.changesLeft--
+	return nil
+}
+
 // Syncs returns the number of calls to sync a file, including failed ones.
 func (d *Disk) Syncs() int {
 	d.mu.Lock()
@@ -162,6 +206,9 @@
 func (d *Disk) Create(path string) (wal.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return nil, err
+	}
 	node := &inode{}
 	d.files[path] = node
 	return &file{d, node, d.powerLosses}, nil
@@ -206,6 +253,9 @@
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	d.files[to] = d.files[from]
 	delete(d.files, from)
 	return nil
@@ -215,6 +265,9 @@
 func (d *Disk) Remove(path string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	delete(d.files, path)
 	return nil
 }
@@ -223,6 +276,9 @@
 func (d *Disk) Truncate(path string, size int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	node, ok := d.files[path]
 	if !ok || size > int64(len(node.data)) {
 		return errors.Errorf("waltest: no file %s of %d bytes", path, size)
@@ -237,6 +293,9 @@
 func (d *Disk) SyncDir(string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	if d.failSyncs {
 		return ErrSync
 	}
@@ -280,6 +339,9 @@
 	f.disk.waitUntilThawed()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
+	if err := f.disk.change(); err != nil {
+		return 0, err
+	}
 	if f.powerLossesAtOpen != f.disk.powerLosses {
 		return 0, ErrPowerLost
 	}
@@ -297,6 +359,9 @@
 	f.disk.waitUntilThawed()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
+	if err := f.disk.change(); err != nil {
+		return err
+	}
 	f.disk.syncs++
 	if f.powerLossesAtOpen != f.disk.powerLosses {
 		return ErrPowerLost
