Node: a withdrawal after the lease has run out is stored like any other

Cause: the lease of its announcement had run out, so the renewal for whose storage the acknowledgement waits held no record of it.

Evidence: before, TestWithdrawalAfterTheLeaseOutlastsTheNode saw the late heartbeat put it back into service.

--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -50,6 +50,8 @@
 	}
 	if n.announced != nil && n.announced.server.Instance == instance {
 		n.announced.server = member.LeavingRecord(n.announced.server)
+		// Without a lease the next renewal would not carry the record.
+		n.announced.expires = time.Now().Add(member.LeaseTime)
 	}
 	n.mu.Unlock()
 	n.options.Logger.Info().Str("backend_server", instance).Msg("backend server withdrawn")
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -178,3 +178,27 @@
 	require.ErrorIs(t, err, ErrNotStored)
 	home.failing.Store(false)
 }
+
+// TestWithdrawalAfterTheLeaseOutlastsTheNode guards against a withdrawal that only the memory of the node keeps, because the lease of
+// the backend server had run out when it came.
+func TestWithdrawalAfterTheLeaseOutlastsTheNode(t *testing.T) {
+	home := startLeaseHome(t)
+	n, kill := home.startNode(t)
+	_, err := n.Announce(t.Context(), heartbeatOf(5, ready))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { _, ok := home.stateAtHome(); return ok }, 5*time.Second, time.Millisecond)
+	n.mu.Lock()
+	n.announced.expires = time.Now().Add(-time.Millisecond)
+	n.mu.Unlock()
+	require.Nil(t, n.Announced())
+	require.NoError(t, n.Withdraw(t.Context(), "s"))
+	kill()
+
+	n, kill = home.startNode(t)
+	defer kill()
+	_, err = n.Announce(t.Context(), heartbeatOf(6, ready))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return n.Announced().GetState() == draining }, 5*time.Second, time.Millisecond, "a late heartbeat")
+	state, _ := home.stateAtHome()
+	require.Equal(t, draining, state)
+}
