Node: keep withdrawals of backend servers that it has not heard of

Cause: a withdrawal of another instance than that of the last heartbeat counted as one that has been replaced and was acknowledged at once. The next late heartbeat of the newer start put it back into service.

Evidence: before, TestWithdrawalAfterADelayedHeartbeatOfAnEarlierStart saw 'a late heartbeat puts it back into service'.

--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,8 +19,15 @@
 // The node acts on the change, but must not acknowledge it: it would forget it in a restart.
 var ErrNotStored = errors.New("no other process has stored that the backend server drains")
 
-// unseenDeparture is a backend server beside this node that has announced that it stops, before any heartbeat since the start
-// of the node. The zero value stands for none.
+const (
+	// departureRetention is the time for which a node passes over late heartbeats of a backend server that it only knows by its
+	// departure. Heartbeats arrive late by seconds.
+	departureRetention = time.Minute
+	// maxDepartures bounds the departures that a node knows. A machine has one backend server at a time.
+	maxDepartures = 8
+)
+
+// unseenDeparture is the departure of a backend server beside this node of whose start the node has had no heartbeat since its own.
 type unseenDeparture struct {
 	instance string
 	at       time.Time
@@ -27,31 +35,61 @@
 
 // covers reports whether the departure is that of the given start of a backend server.
 func (u unseenDeparture) covers(server *apiv1.BackendServer) bool {
-	return u.instance != "" && u.instance == server.Instance && server.StartedUnixMs <= u.at.UnixMilli()
+	return !u.isPast(time.Now()) && u.instance == server.Instance && server.StartedUnixMs <= u.at.UnixMilli()
+}
+
+// isPast reports whether the retention of the departure has passed.
+func (u unseenDeparture) isPast(now time.Time) bool {
+	return now.Sub(u.at) >= departureRetention
+}
+
+// unseenDepartures are the latest of them, oldest first.
+type unseenDepartures []unseenDeparture
+
+// with returns the departures with one more, without those past their retention.
+func (u unseenDepartures) with(next unseenDeparture) unseenDepartures {
+	kept := slices.DeleteFunc(slices.Clone(u), func(known unseenDeparture) bool {
+		return known.instance == next.instance || known.isPast(next.at)
+	})
+	kept = append(kept, next)
+	return kept[max(len(kept)-maxDepartures, 0):]
+}
+
+// cover reports whether the given start of a backend server has departed.
+func (u unseenDepartures) cover(server *apiv1.BackendServer) bool {
+	return slices.ContainsFunc(u, func(known unseenDeparture) bool { return known.covers(server) })
+}
+
+// instances lists the names.
+func (u unseenDepartures) instances() []string {
+	var names []string
+	for _, known := range u {
+		if !known.isPast(time.Now()) {
+			names = append(names, known.instance)
+		}
+	}
+	return names
 }
 
 // Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of the
 // same incarnation are ignored. It returns once another process has stored that, so that a restart of this node does not undo
 // it; otherwise the error wraps ErrNotStored, or member.ErrInvalidServer for an impossible name. An instance that is not the
-// one of the last heartbeat has been replaced already.
+// one of the last heartbeat may have been replaced already, or may be the next one, whose heartbeats are late.
 func (n *Node) Withdraw(ctx context.Context, instance string) error {
 	if err := member.CheckName(instance); err != nil {
 		return err
 	}
 	n.mu.Lock()
-	switch n.lastHeartbeat.instance {
-	case "":
-		n.unseen = unseenDeparture{instance, time.Now()}
-	case instance:
+	now := time.Now()
+	if n.lastHeartbeat.instance == instance {
 		n.lastHeartbeat.leaving, n.lastHeartbeat.withdrawn = true, true
-	default:
-		n.mu.Unlock()
-		return nil
+	} else {
+		n.unseen = n.unseen.with(unseenDeparture{instance, now})
 	}
 	if n.announced != nil && n.announced.server.Instance == instance {
 		n.announced.server = member.LeavingRecord(n.announced.server)
 		// Without a lease the next renewal would not carry the record.
-		n.announced.expires = time.Now().Add(member.LeaseTime)
+		n.announced.expires = now.Add(member.LeaseTime)
 	}
 	n.mu.Unlock()
 	n.options.Logger.Info().Str("backend_server", instance).Msg("backend server withdrawn")
@@ -103,7 +141,8 @@
 	defer n.mu.Unlock()
 	learned := false
 	for _, known := range records {
-		if n.lastHeartbeat.instance == "" && known.Leaving && known.Instance == n.unseen.instance {
+		newer := n.lastHeartbeat.instance == "" || known.Incarnation > n.lastHeartbeat.incarnation
+		if newer && known.Leaving && n.unseen.cover(known) {
 			n.lastHeartbeat = heartbeat{instance: known.Instance, incarnation: known.Incarnation, leaving: true, withdrawn: true}
 			continue
 		}
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -202,3 +202,48 @@
 	state, _ := home.stateAtHome()
 	require.Equal(t, draining, state)
 }
+
+// TestWithdrawalAfterADelayedHeartbeatOfAnEarlierStart guards against a withdrawal that is acknowledged without effect, because the
+// only heartbeat since the start of the node is a delayed one of the backend server before.
+func TestWithdrawalAfterADelayedHeartbeatOfAnEarlierStart(t *testing.T) {
+	heartbeatOfStart := func(instance string, start int64, sequence uint64) *apiv1.AnnounceRequest {
+		request := heartbeatOf(sequence, ready)
+		request.Server.Instance, request.Server.Incarnation, request.Server.StartedUnixMs = instance, uint64(start), start
+		return request
+	}
+	home := startLeaseHome(t)
+	n, kill := home.startNode(t)
+	for _, request := range []*apiv1.AnnounceRequest{heartbeatOfStart("old", 1000, 1), heartbeatOfStart("new", 2000, 1)} {
+		_, err := n.Announce(t.Context(), request)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return n.storedRevisionForTest() }, 5*time.Second, time.Millisecond)
+	}
+	kill()
+
+	n, kill = home.startNode(t)
+	_, err := n.Announce(t.Context(), heartbeatOfStart("old", 1000, 2))
+	require.NoError(t, err)
+	require.NoError(t, n.Withdraw(t.Context(), "new"))
+	for sequence := uint64(5); sequence < 9; sequence++ {
+		_, err = n.Announce(t.Context(), heartbeatOfStart("new", 2000, sequence))
+		require.NoError(t, err)
+		require.NotEqual(t, "new", n.LocalServer().GetInstance(), "a late heartbeat puts it back into service")
+	}
+	kill()
+
+	n, kill = home.startNode(t)
+	defer kill()
+	_, err = n.Announce(t.Context(), heartbeatOfStart("new", 2000, 9))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return n.LocalServer().GetState() == draining }, 5*time.Second, time.Millisecond, "after another restart")
+	_, err = n.Announce(t.Context(), heartbeatOfStart("third", time.Now().UnixMilli(), 1))
+	require.NoError(t, err)
+	require.Equal(t, ready, n.LocalServer().State, "the next start is in service")
+}
+
+// storedRevisionForTest reports whether the home has stored the current revision.
+func (n *Node) storedRevisionForTest() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storedRevision >= n.revision
+}
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -46,9 +46,9 @@
 		return false
 	}
 	next := heartbeat{instance: server.Instance, incarnation: server.Incarnation, sequence: request.Sequence, leaving: server.Leaving}
-	if n.lastHeartbeat.isOf(server) && n.lastHeartbeat.leaving && !next.leaving || n.unseen.covers(server) {
+	if n.lastHeartbeat.isOf(server) && n.lastHeartbeat.leaving && !next.leaving || n.unseen.cover(server) {
 		return false
 	}
-	n.lastHeartbeat, n.unseen = next, unseenDeparture{}
+	n.lastHeartbeat = next
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	mu            sync.Mutex
 	announced     *announcement
 	lastHeartbeat heartbeat
-	unseen        unseenDeparture
+	unseen        unseenDepartures
 	revision      uint64
 	// storedRevision is the newest revision whose records the home of the leases has stored. storedChanged is closed and
 	// replaced when it changes.
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -153,9 +153,7 @@
 			Revision:          n.revision,
 		},
 	}
-	if n.unseen.instance != "" {
-		request.LeavingServers = []string{n.unseen.instance}
-	}
+	request.LeavingServers = n.unseen.instances()
 	if version, refusal := n.relay.Refused(); request.Node.RefusedVersion == 0 {
 		request.Node.RefusedVersion, request.Node.Refusal = version, refusal
 	}
