Proxy: count the retry of a call after its first attempt, whichever is reported first

Cause: the reports of a call's attempts are sent side by side. If the second was recorded first, both attempts counted as runs side by side, and once only.

Evidence: TestRetryCountsThoughItIsReportedFirst fails without the change. Now a report says how many attempts of its call had broken off before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -41,7 +41,8 @@
 	p.recordAttempt(c, server, &r, started, now, ctx.Err())
 	p.queues.get(server.Info.Service, server.Info.Version).Wake()
 	if r.outcome == attemptBroken && ctx.Err() == nil {
-		p.reportBroken(ctx, c, server, suspect.Run{Began: started, Ended: now})
+		p.reportBroken(ctx, c, server, suspect.Run{Began: started, Ended: now, Earlier: c.broken})
+		c.broken++
 	}
 	return r
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -38,6 +38,8 @@
 	suspect *suspect.Request
 	// memory is the reservation for the body of the newest response.
 	memory *reservation
+	// broken is the number of attempts that broke off.
+	broken int
 	// pendingReports waits for the reports of broken attempts to other nodes. A failed call is answered after them, so
 	// that its caller cannot send the request again to a node that does not know yet that the request is suspect.
 	pendingReports sync.WaitGroup
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -20,7 +20,6 @@
 	c.state.budget.Deposit(c.route.Settings.RetryBudget)
 	var tried map[string]bool
 	var last *refusal
-	broken := 0
 	for attempts := 0; ; attempts++ {
 		server, refused := p.acquire(ctx, c, version, tried)
 		if refused != nil {
@@ -32,10 +31,7 @@
 			return r.response, nil
 		}
 		last = mergeRefusals(last, r.refusal)
-		if r.outcome == attemptBroken {
-			broken++
-		}
-		if broken > 1 {
+		if c.broken > 1 {
 			// The request may be what crashes the backend servers. Whether it must be blocked is known only after the
 			// reports, and it must not reach a third one before.
 			c.pendingReports.Wait()
--- a/internal/suspect/entry.go
+++ b/internal/suspect/entry.go
@@ -85,9 +85,9 @@
 	return true
 }
 
-// generationOf returns the generation of a run at a version that began at a time of this node.
-func (e *entry) generationOf(version string, began time.Time) uint32 {
-	return 1 + uint32(e.heldAgainst(version, &began))
+// generationOf returns the generation of a run of this node at a version.
+func (e *entry) generationOf(version string, run Run) uint32 {
+	return 1 + uint32(max(e.heldAgainst(version, &run.Began), run.Earlier))
 }
 
 // blocked reports whether the request must be refused at a version. A request that has completed at no version is taken to crash
--- a/internal/suspect/entry_test.go
+++ b/internal/suspect/entry_test.go
@@ -74,7 +74,7 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	crashOfRun := func(incarnation uint64, began, ended int) crashReport {
 		report := crashOf(1, "a", incarnation)
-		report.run = Run{at(began), at(ended)}
+		report.run = Run{Began: at(began), Ended: at(ended)}
 		return report
 	}
 	here, there := NewStore(), NewStore()
@@ -96,6 +96,22 @@
 	require.True(t, blocked(), "after the first crash, which was reported later")
 }
 
+// TestRetryCountsThoughItIsReportedFirst guards against a request that is sent to a third backend server because the reports of its
+// attempts overtook each other.
+func TestRetryCountsThoughItIsReportedFirst(t *testing.T) {
+	store, now := NewStore(), time.Unix(1000, 0)
+	for incarnation, run := range []Run{
+		{Began: now.Add(20), Ended: now.Add(30), Earlier: 1},
+		{Began: now, Ended: now.Add(10)},
+	} {
+		report := crashOf(1, "a", uint64(incarnation))
+		report.run = run
+		require.False(t, store.Blocked(key{"rota", 1}, "v1", now))
+		store.RecordCrash(report, now)
+	}
+	require.True(t, store.Blocked(key{"rota", 1}, "v1", now))
+}
+
 // TestBlockedRequestsAreEvictedLast guards against a request that is unblocked by callers that send ever new bodies beside it.
 func TestBlockedRequestsAreEvictedLast(t *testing.T) {
 	store, now := NewStore(), time.Unix(1000, 0)
--- a/internal/suspect/store.go
+++ b/internal/suspect/store.go
@@ -43,8 +43,12 @@
 	generation uint32
 }
 
-// Run is the time of an attempt that broke off.
-type Run struct{ Began, Ended time.Time }
+// Run describes an attempt that broke off.
+type Run struct {
+	Began, Ended time.Time
+	// Earlier is the number of attempts of the same call that had broken off before. Their reports may come later.
+	Earlier int
+}
 
 // NewStore returns an empty store.
 func NewStore() *Store {
@@ -69,7 +73,7 @@
 	c := crash{process: report.process, version: report.version, generation: report.generation, recorded: now}
 	if !report.run.Began.IsZero() {
 		// A retry may begin before the report of the attempt before it.
-		c.generation, c.recorded = e.generationOf(report.version, report.run.Began), report.run.Ended
+		c.generation, c.recorded = e.generationOf(report.version, report.run), report.run.Ended
 	}
 	return c.generation, e.addCrash(c, now)
 }
