--- a/internal/suspect/entry.go
+++ b/internal/suspect/entry.go
@@ -29,8 +29,8 @@
 	version string
 	// cleared is set once the request has completed at the version afterwards.
 	cleared bool
-	// generation is one more than the number of crashes held against the request when the run began, 0 if that is not known. Runs
-	// that were in flight side by side are of one generation, and their crashes are held against the request once: several backend
+	// generation is one more than the number of crashes that counted for the request when the run began, 0 if that is not known. Runs
+	// that were in flight side by side are of one generation, and their crashes count once: several backend
 	// servers may crash at a time for another reason.
 	generation uint32
 	// recorded is when this node came to know of the crash.
@@ -87,7 +87,7 @@
 
 // generationOf returns the generation of a run of this node at a version.
 func (e *entry) generationOf(version string, run Run) uint32 {
-	return 1 + uint32(max(e.heldAgainst(version, &run.Began), run.Earlier))
+	return 1 + uint32(max(e.countedCrashes(version, &run.Began), run.Earlier))
 }
 
 // blocked reports whether the request must be refused at a version. A request that has completed at no version is taken to crash
@@ -97,12 +97,12 @@
 	if slices.Contains(e.completed, version) {
 		limit = blockingCrashesAfterRun
 	}
-	return e.heldAgainst(version, nil) >= limit
+	return e.countedCrashes(version, nil) >= limit
 }
 
-// heldAgainst returns the number of crashes that are held against the request at a version, of those recorded by a time if there is
+// countedCrashes returns the number of crashes that count for the request at a version, of those recorded by a time if there is
 // one.
-func (e *entry) heldAgainst(version string, by *time.Time) int {
+func (e *entry) countedCrashes(version string, by *time.Time) int {
 	count := 0
 	generations := map[uint32]bool{}
 	for _, c := range e.crashes {
