Member: tell a node what other processes know of its backend server

Callers would see calls at a backend server that has left: a node that restarts takes a late heartbeat and announces it as ready at an instance that has not heard of its end yet. When that instance learns of it from another one, it keeps the leaving record, but goes on accepting the short renewals of the node, which say only that nothing has changed.

A short renewal is accepted only for the record that the node has sent itself.

TestNodeIsToldWhatOthersKnow failed before: the short renewal was accepted.

--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -18,6 +18,9 @@
 	record R
 	// gone is set when the lease has ended.
 	gone bool
+	// fromNode is set if the record is the one that its node sent here last. After a change that another process knew of, the node
+	// must send its whole record, so that it learns of the change.
+	fromNode bool
 	// dropped is set for a lease that ended only because the full list of another table lacked it. A record of the same
 	// incarnation and revision restores it.
 	dropped bool
--- a/internal/member/lease_set.go
+++ b/internal/member/lease_set.go
@@ -106,6 +106,7 @@
 // incarnation, and otherwise the revision that the node must exceed.
 func (s *leaseSet[R]) renew(r R, now time.Time) uint64 {
 	if s.put(r, now) {
+		s.leases[r.GetInstance()].fromNode = true
 		return s.revisionToExceed(r)
 	}
 	known := s.leases[r.GetInstance()]
@@ -118,6 +119,7 @@
 	if !known.gone {
 		known.expires = now.Add(LeaseTime)
 	}
+	known.fromNode = true
 	return s.revisionToExceed(r)
 }
 
@@ -132,10 +134,10 @@
 }
 
 // renewUnchanged extends a lease whose record has not changed. It reports false when the node has to send the record:
-// this process is not the home of an active lease, or another table declared the instance gone.
+// this process is not the home of an active lease with the record that the node has sent, or another table declared the instance gone.
 func (s *leaseSet[R]) renewUnchanged(instance string, now time.Time) bool {
 	known := s.leases[instance]
-	if known == nil || known.gone || known.record.GetHome() != s.self {
+	if known == nil || known.gone || known.record.GetHome() != s.self || !known.fromNode {
 		return false
 	}
 	if _, declared := s.declaredGone[instance]; declared {
