Member: give an instance that lost its disk its own drains back

Callers would see calls at a backend server that has left: its departure was stored at the home of its lease and at others, the home came back with an empty disk, and the node, restarted, renewed there with a late heartbeat. The others leave out of their lists the active leases whose home is the receiver, because it has their newest records; a home that has lost its disk has not.

A full list, which an instance asks for after its start, has these records of drains too.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -289,11 +289,15 @@
 	return Changes{Nodes: t.nodes.changedAt(home, since), Servers: t.servers.changedAt(home, since), Full: since == 0, Seq: t.counters.syncSeq}
 }
 
-// ChangesFor returns the records of all homes that changed after a sync sequence number, without the active leases whose
-// home is the receiver. The lists are full in the same cases as those of ChangesAt.
+// ChangesFor returns the records of all homes that changed after a sync sequence number, without the active leases whose home is the
+// receiver. The lists are full in the same cases as those of ChangesAt. A full list has the receiver's own records of drains too: it
+// may have lost them with its disk.
 func (t *Table) ChangesFor(receiver string, since uint64) Changes {
 	since = t.knownPosition(since)
-	return Changes{Nodes: t.nodes.changedFor(receiver, since), Servers: t.servers.changedFor(receiver, since), Full: since == 0, Seq: t.counters.syncSeq}
+	servers := t.servers.changed(since, func(l *lease[*apiv1.BackendServer]) bool {
+		return l.gone || l.record.Home != receiver || since == 0 && CarriesDrain(l.record)
+	})
+	return Changes{Nodes: t.nodes.changedFor(receiver, since), Servers: servers, Full: since == 0, Seq: t.counters.syncSeq}
 }
 
 // knownPosition returns a sync sequence number if this table can tell what changed after it, and otherwise 0.
--- a/internal/member/withdrawal_test.go
+++ b/internal/member/withdrawal_test.go
@@ -18,6 +18,12 @@
 	}
 }
 
+// renewed returns the record that the table keeps after the node has renewed the lease.
+func renewed(table *Table, server *apiv1.BackendServer, now time.Time) *apiv1.BackendServer {
+	table.Renew(renew(proto.Clone(server).(*apiv1.BackendServer)), now)
+	return table.servers.leases["s"].record
+}
+
 // TestNodeIsToldWhatOthersKnow guards against a node whose short renewals are accepted although another process knew that its backend
 // server leaves: the node would take calls for it as long as nothing else changes.
 func TestNodeIsToldWhatOthersKnow(t *testing.T) {
@@ -48,3 +54,19 @@
 		require.True(t, table.RenewUnchanged(short, start), "%s: then it has learned it", name)
 	}
 }
+
+// TestHomeWithAnEmptyDiskGetsItsDrainsBack guards against a home that accepts a late heartbeat because the others take its own records
+// for known to it.
+func TestHomeWithAnEmptyDiskGetsItsDrainsBack(t *testing.T) {
+	home, other := NewTable("home"), NewTable("other")
+	leaving := LeavingRecord(startedAt(start.Add(-time.Minute)))
+	home.Renew(renew(proto.Clone(leaving).(*apiv1.BackendServer)), start)
+	other.Merge(nil, home.ChangesAt("home", 0).Servers, start)
+	wiped := NewTable("home")
+	full := other.ChangesFor("home", 0)
+	require.True(t, full.Full)
+	wiped.Merge(nil, full.Servers, start)
+	require.Len(t, wiped.Drains(), 1)
+	require.True(t, renewed(wiped, startedAt(start.Add(-time.Minute)), start).Leaving)
+	require.Empty(t, other.ChangesFor("home", full.Seq).Servers, "and nothing again")
+}
