Store the departures of one moment in few writes, the newest last

In a roll-out hundreds of backend servers leave at once. Each departure wrote the whole file of a control instance: 283 syncs for 300 departures. And a file at its bound of 1 MiB left out records at random, so that a departure could count as stored and not be there.

Departures that arrive while the file is written share the next write, as linearizable reads do (readBatcher is now a batcher of any operation), and they are listed in the order of their last change, so that the bound leaves out the oldest.

--- a/internal/control/departure_loop.go
+++ b/internal/control/departure_loop.go
@@ -15,12 +15,13 @@
 func (s *Server) departureLoop(ctx context.Context) error {
 	return periodic.Run(ctx, departureInterval, func(time.Time) {
 		// A failure is logged, and the next run tries again.
-		_ = s.saveDepartures()
+		_ = s.departureSaver.Wait(ctx)
 		s.learnDomains()
 	})
 }
 
-// saveDepartures stores all departures that the table of members holds. It logs a failure when it follows a success.
+// saveDepartures stores all departures that the table of members holds. It logs a failure when it follows a success. Only
+// departureSaver calls it.
 func (s *Server) saveDepartures() error {
 	if s.options.Departures == nil {
 		return nil
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -21,14 +21,14 @@
 }
 
 // Renew renews the leases of a node and its backend servers.
-func (s membershipService) Renew(_ context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
+func (s membershipService) Renew(ctx context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
 	response := &apiv1.RenewResponse{
 		Version: s.options.Machine.View().Version,
 		AgeMs:   uint64(s.options.Log.Status().LastContact.Milliseconds()),
 	}
 	s.members.Renew(request, response, s.now())
 	carriesDrain := slices.ContainsFunc(request.Servers, member.CarriesDrain) || len(request.LeavingServers) > 0
-	if carriesDrain && s.saveDepartures() != nil {
+	if carriesDrain && s.departureSaver.Wait(ctx) != nil {
 		response.DrainNotStored = true
 	}
 	return response, nil
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -39,3 +39,10 @@
 	freshness.Version = s.options.Machine.View().Version
 	return freshness, nil
 }
+
+// readIndexInTime waits until the local state is current, at most linearizableReadTimeout.
+func readIndexInTime(log Log) error {
+	ctx, cancel := context.WithTimeout(context.Background(), linearizableReadTimeout)
+	defer cancel()
+	return log.ReadIndex(ctx)
+}
--- a/internal/control/relay_service.go
+++ b/internal/control/relay_service.go
@@ -15,12 +15,12 @@
 }
 
 // Sync adds the leases that a relay or another control instance sends and returns the leases that the sender lacks.
-func (s relayService) Sync(_ context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+func (s relayService) Sync(ctx context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
 	source := watchSource(s)
 	response := distribution.HandleSync(s.members, request, source.MembersComplete(), s.now())
 	if slices.ContainsFunc(request.Servers, member.CarriesDrain) {
 		// A failure is logged, and the departure loop tries again.
-		_ = s.saveDepartures()
+		_ = s.departureSaver.Wait(ctx)
 	}
 	response.Instance = s.options.Instance
 	response.AgeMs = uint64(source.Age().Milliseconds())
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -59,7 +59,8 @@
 	memberExchange     *distribution.MemberExchange
 	failureDetector    *distribution.FailureDetector
 	snapshotBuilder    *snapshotBuilder
-	readBatcher        *readBatcher
+	readBatcher        *batcher
+	departureSaver     *batcher
 	watchServer        *distribution.WatchServer
 	outcomes           *outcome.Aggregator
 	reportDeduplicator *distribution.ReportDeduplicator
@@ -92,7 +93,7 @@
 	s := &Server{
 		options:            options,
 		members:            members,
-		readBatcher:        newReadBatcher(options.Log.ReadIndex),
+		readBatcher:        newBatcher(func() error { return readIndexInTime(options.Log) }),
 		outcomes:           outcome.NewAggregator(""),
 		reportDeduplicator: distribution.NewReportDeduplicator(),
 		client:             client,
@@ -106,6 +107,7 @@
 	for _, name := range options.FailureDomains {
 		s.domains.add(name)
 	}
+	s.departureSaver = newBatcher(s.saveDepartures)
 	if options.Departures != nil {
 		members.Remember(options.Departures.Servers(), started)
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -116,15 +117,20 @@
 	return leaving
 }
 
-// Drains lists the records that say that a backend server leaves, or that carry an order to drain it or to undo that. Those
-// of ended leases are included.
+// Drains lists the records that say that a backend server leaves, or that carry an order to drain it or to undo that, in the order of
+// their last change. Those of ended leases are included.
 func (t *Table) Drains() []*apiv1.BackendServer {
-	var list []*apiv1.BackendServer
+	var drains []*lease[*apiv1.BackendServer]
 	for _, l := range t.servers.leases {
 		if CarriesDrain(l.record) {
-			list = append(list, l.record)
+			drains = append(drains, l)
 		}
 	}
+	slices.SortFunc(drains, func(a, b *lease[*apiv1.BackendServer]) int { return cmp.Compare(a.syncSeq, b.syncSeq) })
+	list := make([]*apiv1.BackendServer, len(drains))
+	for i, l := range drains {
+		list[i] = l.record
+	}
 	return list
 }
 
