Keep withdrawals of backend servers that nobody has heard of

Cause: a DELETE names the backend server. The home of the leases marked the record that it knew, and without one did nothing and reported no failure; the node counted that as stored.

A withdrawal is now a record of its own, which tables keep for a minute, exchange and store. Every start until then, known or announced later, is taken for a leaving one, and its node is told.

In departure_test.go the next start of a backend server now starts at the time of the test and not in 1970: a start before the withdrawal is what must be passed over.

--- a/internal/departures/store.go
+++ b/internal/departures/store.go
@@ -42,6 +42,8 @@
 	incarnation uint64
 	leaving     bool
 	drainOrder  uint64
+	// started is the time until which a withdrawal covers starts.
+	started int64
 }
 
 // Open returns the store in a data folder, which must be locked by this process. If the file is damaged, it returns an empty
@@ -120,5 +122,5 @@
 }
 
 func keyOf(server *apiv1.BackendServer) departureKey {
-	return departureKey{server.Instance, server.Incarnation, server.Leaving, server.DrainOrder}
+	return departureKey{server.Instance, server.Incarnation, server.Leaving, server.DrainOrder, server.StartedUnixMs}
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -38,6 +38,8 @@
 	servers  *leaseSet[*apiv1.BackendServer]
 	// byAddr maps each address to the instance that holds it.
 	byAddr map[string]string
+	// withdrawals holds backend servers that leave by their name alone. Records of their starts are taken for leaving ones.
+	withdrawals withdrawalSet
 	// lastContact holds the time of the last contact with each other home.
 	lastContact map[string]time.Time
 }
@@ -51,6 +53,7 @@
 		nodes:       newLeaseSet(self, c, nodeKind),
 		servers:     newLeaseSet(self, c, serverKind),
 		byAddr:      map[string]string{},
+		withdrawals: withdrawalSet{},
 		lastContact: map[string]time.Time{},
 	}
 }
@@ -77,10 +80,14 @@
 	}
 	for _, server := range request.Servers {
 		server.Home = t.self
+		if IsWithdrawal(server) {
+			t.withdraw(server, true, now)
+			continue
+		}
 		if request.Leaving {
 			server.State = apiv1.ServerState_SERVER_STATE_GONE
 		}
-		mustExceed = max(mustExceed, t.servers.renew(server, now))
+		mustExceed = max(mustExceed, t.servers.renew(t.asWithdrawn(server, now), now))
 		t.resolveAddrConflict(server.Instance, now)
 	}
 	for _, instance := range request.LeavingServers {
@@ -91,6 +98,26 @@
 	return mustExceed
 }
 
+// withdraw stores a withdrawal, and marks the start that the table knows as leaving. A start that is announced later is marked then.
+// With handOn, this process hands it on to all others.
+func (t *Table) withdraw(record *apiv1.BackendServer, handOn bool, now time.Time) {
+	if !t.withdrawals.add(record, handOn, t.counters.syncSeq+1, now) {
+		return
+	}
+	t.counters.syncSeq++
+	if known := t.servers.leases[record.Instance]; known != nil && !known.record.Leaving && t.withdrawals.covers(known.record, now) {
+		t.servers.put(LeavingRecord(known.record), now)
+	}
+}
+
+// asWithdrawn returns a record as that of a leaving backend server if its start has been withdrawn, and otherwise unchanged.
+func (t *Table) asWithdrawn(server *apiv1.BackendServer, now time.Time) *apiv1.BackendServer {
+	if server.Leaving || !t.withdrawals.covers(server, now) {
+		return server
+	}
+	return LeavingRecord(server)
+}
+
 // Overruling lists the records that are kept in place of those of a renewal, and those of its leaving backend servers.
 func (t *Table) Overruling(request *apiv1.RenewRequest) []*apiv1.BackendServer {
 	var list []*apiv1.BackendServer
@@ -118,18 +145,25 @@
 }
 
 // Drains lists the records that say that a backend server leaves, or that carry an order to drain it or to undo that, in the order of
-// their last change. Those of ended leases are included.
+// their last change. Those of ended leases and withdrawals are included.
 func (t *Table) Drains() []*apiv1.BackendServer {
-	var drains []*lease[*apiv1.BackendServer]
+	type drain struct {
+		record  *apiv1.BackendServer
+		syncSeq uint64
+	}
+	var drains []drain
 	for _, l := range t.servers.leases {
 		if CarriesDrain(l.record) {
-			drains = append(drains, l)
+			drains = append(drains, drain{l.record, l.syncSeq})
 		}
 	}
-	slices.SortFunc(drains, func(a, b *lease[*apiv1.BackendServer]) int { return cmp.Compare(a.syncSeq, b.syncSeq) })
+	for _, known := range t.withdrawals {
+		drains = append(drains, drain{known.record, known.syncSeq})
+	}
+	slices.SortFunc(drains, func(a, b drain) int { return cmp.Compare(a.syncSeq, b.syncSeq) })
 	list := make([]*apiv1.BackendServer, len(drains))
-	for i, l := range drains {
-		list[i] = l.record
+	for i, d := range drains {
+		list[i] = d.record
 	}
 	return list
 }
@@ -143,6 +177,10 @@
 // an active lease with the same state wins.
 func (t *Table) Remember(drains []*apiv1.BackendServer, now time.Time) {
 	for _, server := range drains {
+		if IsWithdrawal(server) {
+			t.withdraw(server, true, now)
+			continue
+		}
 		ended := serverKind.end(server)
 		ended.Revision = 0
 		t.servers.merge(ended, now)
@@ -170,7 +208,11 @@
 		t.nodes.merge(info, now)
 	}
 	for _, server := range servers {
-		if t.servers.merge(server, now) {
+		if IsWithdrawal(server) {
+			t.withdraw(server, false, now)
+			continue
+		}
+		if t.servers.merge(t.asWithdrawn(server, now), now) {
 			t.resolveAddrConflict(server.Instance, now)
 		}
 	}
@@ -180,6 +222,7 @@
 // is this process or is in contact with it. The other table may have purged their tombstones while this one was
 // partitioned, and then no change reports their end.
 func (t *Table) Reconcile(servers []*apiv1.BackendServer, now time.Time) {
+	servers = slices.DeleteFunc(slices.Clone(servers), IsWithdrawal)
 	t.servers.reconcile(servers, now, func(home string) bool {
 		contact, ok := t.lastContact[home]
 		return ok && now.Sub(contact) <= HomeTimeout
@@ -267,6 +310,7 @@
 	}
 	t.nodes.purge(now)
 	t.servers.purge(now)
+	t.withdrawals.purge(now)
 }
 
 // Since returns the backend servers that changed after a sequence number. The update is full when seq is 0, lower than
@@ -292,7 +336,10 @@
 // lower than that of a purged tombstone, or higher than any of this table.
 func (t *Table) ChangesAt(home string, since uint64) Changes {
 	since = t.knownPosition(since)
-	return Changes{Nodes: t.nodes.changedAt(home, since), Servers: t.servers.changedAt(home, since), Full: since == 0, Seq: t.counters.syncSeq}
+	withdrawn := t.withdrawals.changed(since, func(w withdrawal) bool { return w.handedOn })
+	return Changes{
+		Nodes: t.nodes.changedAt(home, since), Servers: append(t.servers.changedAt(home, since), withdrawn...), Full: since == 0, Seq: t.counters.syncSeq,
+	}
 }
 
 // ChangesFor returns the records of all homes that changed after a sync sequence number, without the active leases whose home is the
@@ -303,7 +350,8 @@
 	servers := t.servers.changed(since, func(l *lease[*apiv1.BackendServer]) bool {
 		return l.gone || l.record.Home != receiver || since == 0 && CarriesDrain(l.record)
 	})
-	return Changes{Nodes: t.nodes.changedFor(receiver, since), Servers: servers, Full: since == 0, Seq: t.counters.syncSeq}
+	withdrawn := t.withdrawals.changed(since, func(withdrawal) bool { return true })
+	return Changes{Nodes: t.nodes.changedFor(receiver, since), Servers: append(servers, withdrawn...), Full: since == 0, Seq: t.counters.syncSeq}
 }
 
 // knownPosition returns a sync sequence number if this table can tell what changed after it, and otherwise 0.
--- a/internal/member/withdrawal_test.go
+++ b/internal/member/withdrawal_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	apiv1 "samphireflow/api/v1"
 )
@@ -24,10 +25,58 @@
 	return table.servers.leases["s"].record
 }
 
+// TestWithdrawalCoversStartsThatNobodyHasHeardOf guards against a withdrawal that is stored and has no effect, because it came before
+// the first heartbeat of its backend server.
+func TestWithdrawalCoversStartsThatNobodyHasHeardOf(t *testing.T) {
+	for name, receive := range map[string]func(*Table, *apiv1.BackendServer){
+		"renewed":    func(table *Table, w *apiv1.BackendServer) { table.Renew(renew(w), start) },
+		"merged":     func(table *Table, w *apiv1.BackendServer) { table.Merge(nil, []*apiv1.BackendServer{w}, start) },
+		"remembered": func(table *Table, w *apiv1.BackendServer) { table.Remember([]*apiv1.BackendServer{w}, start) },
+	} {
+		table := NewTable("home")
+		receive(table, NewWithdrawal("s", "n", start))
+		require.Len(t, table.Drains(), 1, name)
+		require.Empty(t, table.Servers(), name)
+		late := startedAt(start.Add(-time.Second))
+		require.True(t, renewed(table, late, start).Leaving, name)
+		require.Len(t, table.Overruling(renew(late)), 1, "%s: the node learns it", name)
+		require.True(t, table.servers.leases["s"].record.Leaving, name)
+
+		next := startedAt(start.Add(time.Second))
+		require.False(t, renewed(table, next, start).Leaving, "%s: the next start is in service", name)
+	}
+}
+
+// TestWithdrawalMarksTheKnownStart: a start that the table knows leaves at once, and stays so after the withdrawal has expired.
+func TestWithdrawalMarksTheKnownStart(t *testing.T) {
+	table := NewTable("home")
+	known := startedAt(start.Add(-time.Hour))
+	require.False(t, renewed(table, known, start).Leaving)
+	table.Merge(nil, []*apiv1.BackendServer{NewWithdrawal("s", "n", start)}, start)
+	require.Equal(t, apiv1.ServerState_SERVER_STATE_DRAINING, table.Servers()[0].State)
+	later := start.Add(withdrawalRetention + time.Second)
+	table.Expire(later)
+	require.Empty(t, table.withdrawals)
+	require.True(t, renewed(table, known, later).Leaving)
+}
+
+// TestWithdrawalIsOfTheNodeBesideIt guards against a node that withdraws the backend servers of others.
+func TestWithdrawalIsOfTheNodeBesideIt(t *testing.T) {
+	table := NewTable("home")
+	server := startedAt(start.Add(-time.Hour))
+	require.False(t, renewed(table, server, start).Leaving)
+	table.Merge(nil, []*apiv1.BackendServer{NewWithdrawal("s", "other", start)}, start)
+	require.False(t, table.Servers()[0].Leaving)
+	require.False(t, renewed(table, server, start).Leaving)
+}
+
 // TestNodeIsToldWhatOthersKnow guards against a node whose short renewals are accepted although another process knew that its backend
 // server leaves: the node would take calls for it as long as nothing else changes.
 func TestNodeIsToldWhatOthersKnow(t *testing.T) {
 	for name, learn := range map[string]func(*Table, *apiv1.BackendServer){
+		"a withdrawal": func(table *Table, _ *apiv1.BackendServer) {
+			table.Merge(nil, []*apiv1.BackendServer{NewWithdrawal("s", "n", start)}, start)
+		},
 		"a record of its end": func(table *Table, known *apiv1.BackendServer) {
 			table.Merge(nil, []*apiv1.BackendServer{LeavingRecord(known)}, start)
 		},
@@ -61,12 +110,50 @@
 	home, other := NewTable("home"), NewTable("other")
 	leaving := LeavingRecord(startedAt(start.Add(-time.Minute)))
 	home.Renew(renew(proto.Clone(leaving).(*apiv1.BackendServer)), start)
+	home.Renew(renew(NewWithdrawal("t", "n", start)), start)
 	other.Merge(nil, home.ChangesAt("home", 0).Servers, start)
 	wiped := NewTable("home")
 	full := other.ChangesFor("home", 0)
 	require.True(t, full.Full)
 	wiped.Merge(nil, full.Servers, start)
-	require.Len(t, wiped.Drains(), 1)
+	require.Len(t, wiped.Drains(), 2)
 	require.True(t, renewed(wiped, startedAt(start.Add(-time.Minute)), start).Leaving)
 	require.Empty(t, other.ChangesFor("home", full.Seq).Servers, "and nothing again")
 }
+
+// TestReconcileTakesNoWithdrawalForALease: a full list with a withdrawal does not keep the lease of that name.
+func TestReconcileTakesNoWithdrawalForALease(t *testing.T) {
+	table := NewTable("home")
+	record := startedAt(start.Add(time.Minute))
+	record.Home = "gone"
+	table.Merge(nil, []*apiv1.BackendServer{record}, start)
+	require.Len(t, table.Servers(), 1)
+	table.Reconcile([]*apiv1.BackendServer{NewWithdrawal("s", "n", start)}, start.Add(HomeTimeout+time.Second))
+	require.Empty(t, table.Servers())
+}
+
+// TestOrderOfWithdrawalsDoesNotMatter merges records and withdrawals in two orders, some of them twice.
+func TestOrderOfWithdrawalsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []*apiv1.BackendServer
+		for range rapid.IntRange(1, 8).Draw(t, "records") {
+			at := start.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "at")) * time.Second)
+			if rapid.Bool().Draw(t, "withdrawal") {
+				records = append(records, NewWithdrawal("s", "n", at))
+				continue
+			}
+			server := startedAt(at)
+			server.Revision = uint64(rapid.IntRange(1, 3).Draw(t, "revision"))
+			records = append(records, server)
+		}
+		order := rapid.Permutation(append(records, records...)).Draw(t, "order")
+		a, b := NewTable("a"), NewTable("b")
+		for _, record := range records {
+			a.Merge(nil, []*apiv1.BackendServer{record}, start)
+		}
+		for _, record := range order {
+			b.Merge(nil, []*apiv1.BackendServer{record}, start)
+		}
+		require.Equal(t, encodings(a.Servers()), encodings(b.Servers()))
+	})
+}
--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -20,35 +20,35 @@
 var ErrNotStored = errors.New("no other process has stored that the backend server drains")
 
 const (
-	// departureRetention is the time for which a node passes over late heartbeats of a backend server that it only knows by its
-	// departure. Heartbeats arrive late by seconds.
+	// departureRetention is the time for which a node passes over late heartbeats of a backend server that has left. Heartbeats
+	// arrive late by seconds.
 	departureRetention = time.Minute
 	// maxDepartures bounds the departures that a node knows. A machine has one backend server at a time.
 	maxDepartures = 8
 )
 
-// unseenDeparture is the departure of a backend server beside this node of whose start the node has had no heartbeat since its own.
-type unseenDeparture struct {
+// departure is the end of a backend server beside this node, announced by its name alone.
+type departure struct {
 	instance string
 	at       time.Time
 }
 
 // covers reports whether the departure is that of the given start of a backend server.
-func (u unseenDeparture) covers(server *apiv1.BackendServer) bool {
-	return !u.isPast(time.Now()) && u.instance == server.Instance && server.StartedUnixMs <= u.at.UnixMilli()
+func (d departure) covers(server *apiv1.BackendServer) bool {
+	return !d.isPast(time.Now()) && d.instance == server.Instance && server.StartedUnixMs <= d.at.UnixMilli()
 }
 
 // isPast reports whether the retention of the departure has passed.
-func (u unseenDeparture) isPast(now time.Time) bool {
-	return now.Sub(u.at) >= departureRetention
+func (d departure) isPast(now time.Time) bool {
+	return now.Sub(d.at) >= departureRetention
 }
 
-// unseenDepartures are the latest of them, oldest first.
-type unseenDepartures []unseenDeparture
+// departures are the latest of them, oldest first.
+type departures []departure
 
 // with returns the departures with one more, without those past their retention.
-func (u unseenDepartures) with(next unseenDeparture) unseenDepartures {
-	kept := slices.DeleteFunc(slices.Clone(u), func(known unseenDeparture) bool {
+func (d departures) with(next departure) departures {
+	kept := slices.DeleteFunc(slices.Clone(d), func(known departure) bool {
 		return known.instance == next.instance || known.isPast(next.at)
 	})
 	kept = append(kept, next)
@@ -56,23 +56,17 @@
 }
 
 // cover reports whether the given start of a backend server has departed.
-func (u unseenDepartures) cover(server *apiv1.BackendServer) bool {
-	return slices.ContainsFunc(u, func(known unseenDeparture) bool { return known.covers(server) })
+func (d departures) cover(server *apiv1.BackendServer) bool {
+	return slices.ContainsFunc(d, func(known departure) bool { return known.covers(server) })
 }
 
-// instances lists the names.
-func (u unseenDepartures) instances() []string {
-	var names []string
-	for _, known := range u {
-		if !known.isPast(time.Now()) {
-			names = append(names, known.instance)
-		}
-	}
-	return names
+// recent lists the departures that are not past their retention.
+func (d departures) recent(now time.Time) []departure {
+	return slices.DeleteFunc(slices.Clone(d), func(known departure) bool { return known.isPast(now) })
 }
 
-// Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of the
-// same incarnation are ignored. It returns once another process has stored that, so that a restart of this node does not undo
+// Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of starts until
+// now are ignored. It returns once another process has stored that, so that a restart of this node does not undo
 // it; otherwise the error wraps ErrNotStored, or member.ErrInvalidServer for an impossible name. An instance that is not the
 // one of the last heartbeat may have been replaced already, or may be the next one, whose heartbeats are late.
 func (n *Node) Withdraw(ctx context.Context, instance string) error {
@@ -81,10 +75,9 @@
 	}
 	n.mu.Lock()
 	now := time.Now()
+	n.withdrawn = n.withdrawn.with(departure{instance, now})
 	if n.lastHeartbeat.instance == instance {
 		n.lastHeartbeat.leaving, n.lastHeartbeat.withdrawn = true, true
-	} else {
-		n.unseen = n.unseen.with(unseenDeparture{instance, now})
 	}
 	if n.announced != nil && n.announced.server.Instance == instance {
 		n.announced.server = member.LeavingRecord(n.announced.server)
@@ -142,7 +135,7 @@
 	learned := false
 	for _, known := range records {
 		newer := n.lastHeartbeat.instance == "" || known.Incarnation > n.lastHeartbeat.incarnation
-		if newer && known.Leaving && n.unseen.cover(known) {
+		if newer && known.Leaving && n.withdrawn.cover(known) {
 			n.lastHeartbeat = heartbeat{instance: known.Instance, incarnation: known.Incarnation, leaving: true, withdrawn: true}
 			continue
 		}
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,6 +36,11 @@
 	return response, nil
 }
 
+// knows reports whether the home has heard of a backend server.
+func (h *leaseHome) knows(instance string) bool {
+	return slices.ContainsFunc(h.hub.Members().Servers, func(server *apiv1.BackendServer) bool { return server.Instance == instance })
+}
+
 func startLeaseHome(t *testing.T) *leaseHome {
 	h := &leaseHome{hub: member.NewHub("home", 1)}
 	server := httptest.NewUnstartedServer(http.Handler(apiv1.NewMembershipServer(h)))
@@ -154,7 +160,8 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return n.Announced().GetState() == draining }, 5*time.Second, time.Millisecond)
 	next := heartbeatOf(1, ready)
-	next.Server.Incarnation, next.Server.StartedUnixMs = 2000, 2000
+	next.Server.StartedUnixMs = time.Now().UnixMilli()
+	next.Server.Incarnation = uint64(next.Server.StartedUnixMs)
 	_, err = n.Announce(t.Context(), next)
 	require.NoError(t, err)
 	require.Equal(t, ready, n.Announced().State, "the next start is in service")
@@ -247,3 +254,36 @@
 	defer n.mu.Unlock()
 	return n.storedRevision >= n.revision
 }
+
+// TestWithdrawalOfAnInstanceThatNobodyHasHeardOf guards against a withdrawal that only the memory of the node keeps, because its backend
+// server's heartbeats are late and neither the node nor the home of the leases has heard of this start, or of any.
+func TestWithdrawalOfAnInstanceThatNobodyHasHeardOf(t *testing.T) {
+	for _, startedBefore := range []bool{false, true} {
+		home := startLeaseHome(t)
+		n, kill := home.startNode(t)
+		beat := func(started time.Time, sequence uint64) {
+			request := heartbeatOf(sequence, ready)
+			request.Server.StartedUnixMs = started.UnixMilli()
+			request.Server.Incarnation = uint64(request.Server.StartedUnixMs)
+			_, err := n.Announce(t.Context(), request)
+			require.NoError(t, err)
+		}
+		started := time.Now().Add(-time.Minute)
+		if startedBefore {
+			beat(started.Add(-time.Minute), 1)
+			require.Eventually(t, func() bool { return home.knows("s") }, 5*time.Second, time.Millisecond)
+		}
+		require.NoError(t, n.Withdraw(t.Context(), "s"))
+		beat(started, 1)
+		require.NotEqual(t, ready, n.LocalServer().GetState(), "the node itself passes it over")
+		kill()
+
+		n, kill = home.startNode(t)
+		beat(started, 2)
+		require.Eventually(t, func() bool { return n.LocalServer().GetState() == draining }, 5*time.Second, time.Millisecond, "a late heartbeat")
+		beat(time.Now(), 1)
+		require.Equal(t, ready, n.LocalServer().State, "the next start is in service")
+		require.Never(t, func() bool { return n.LocalServer().State != ready }, 100*time.Millisecond, time.Millisecond)
+		kill()
+	}
+}
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	next := heartbeat{instance: server.Instance, incarnation: server.Incarnation, sequence: request.Sequence, leaving: server.Leaving}
-	if n.lastHeartbeat.isOf(server) && n.lastHeartbeat.leaving && !next.leaving || n.unseen.cover(server) {
+	if n.lastHeartbeat.isOf(server) && n.lastHeartbeat.leaving && !next.leaving || n.withdrawn.cover(server) {
 		return false
 	}
 	n.lastHeartbeat = next
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,9 @@
 	mu            sync.Mutex
 	announced     *announcement
 	lastHeartbeat heartbeat
-	unseen        unseenDepartures
-	revision      uint64
+	// withdrawn holds the backend servers that have announced by their name alone that they stop.
+	withdrawn departures
+	revision  uint64
 	// storedRevision is the newest revision whose records the home of the leases has stored. storedChanged is closed and
 	// replaced when it changes.
 	storedRevision uint64
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -8,6 +8,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/distribution"
+	"samphireflow/internal/member"
 )
 
 // wakeRenewal makes the renewal loop renew the leases at once.
@@ -128,6 +129,9 @@
 		Unchanged: true,
 	}
 	for _, server := range request.Servers {
+		if member.IsWithdrawal(server) {
+			continue
+		}
 		short.UnchangedServers = append(short.UnchangedServers, server.Instance)
 	}
 	return short
@@ -153,11 +157,16 @@
 			Revision:          n.revision,
 		},
 	}
-	request.LeavingServers = n.unseen.instances()
 	if version, refusal := n.relay.Refused(); request.Node.RefusedVersion == 0 {
 		request.Node.RefusedVersion, request.Node.Refusal = version, refusal
 	}
-	if advertised := n.advertisedServer(time.Now()); advertised != nil {
+	now := time.Now()
+	for _, known := range n.withdrawn.recent(now) {
+		// Earlier releases know the name only.
+		request.LeavingServers = append(request.LeavingServers, known.instance)
+		request.Servers = append(request.Servers, member.NewWithdrawal(known.instance, n.options.Instance, known.at))
+	}
+	if advertised := n.advertisedServer(now); advertised != nil {
 		server := proto.Clone(advertised).(*apiv1.BackendServer)
 		server.Revision = n.revision
 		request.Servers = append(request.Servers, server)
