Node: close the channel of the floor that was made, not the one that is left

The watch loop sets its variable to nil once it has the floor, while the goroutine that has sent the floor is about to close the channel in that variable. If the loop was faster, the close of a nil channel would end the process at its start. The goroutine now has the channel itself.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -25,12 +25,12 @@
 func (n *Node) watchLoop(ctx context.Context) error {
 	floorFound := make(chan uint64, 1)
 	floorKnown := make(chan struct{})
-	go func() {
+	go func(known chan<- struct{}) {
 		if floor, err := n.awaitFloor(ctx); err == nil {
 			floorFound <- floor
-			close(floorKnown)
+			close(known)
 		}
-	}()
+	}(floorKnown)
 	n.startNear(ctx)
 	retry := newBackOff()
 	for ctx.Err() == nil {
