Acknowledge a drain once its copies outlast what may be lost

It was enough that the one control instance stayed away.

Cause: the home of the leases answered once it had stored the departure itself, and a node took that for an acknowledgement. The others got it about 100 ms later.

internal/copies decides how many copies an acknowledgement needs, from what the settings tolerate, and node.acknowledge is the one place that gives acknowledgements to backend servers and drain orders. The node asks the control instances itself, because the home of its leases may be the one that is away; holders hand on what they have stored. A side that is cut off acknowledges only with so many copies.

TestDrainOfPartitionedNode asked for an acknowledgement that the memory of two relays was enough for. It now requires that there is none, that the backend server gets no work all the same, and that the order is acknowledged after the partition.

--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -34,6 +34,27 @@
 	return response, nil
 }
 
+// StoreDrains stores the records on the disk of this instance. The node that sends them acknowledges them once enough instances have
+// done so.
+func (s membershipService) StoreDrains(ctx context.Context, request *apiv1.StoreDrainsRequest) (*apiv1.StoreDrainsResponse, error) {
+	for _, server := range request.Servers {
+		if err := member.CheckName(server.GetInstance()); err != nil {
+			return nil, twirp.InvalidArgumentError("servers", err.Error())
+		}
+		if !member.CarriesDrain(server) {
+			return nil, twirp.InvalidArgumentError("servers", "a record neither says that its backend server leaves nor carries an order to drain it")
+		}
+	}
+	if s.options.Departures == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "this instance has no disk")
+	}
+	s.members.StoreDrains(request.Servers, s.now())
+	if err := s.departureSaver.Wait(ctx); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "the departures cannot be stored: "+err.Error())
+	}
+	return &apiv1.StoreDrainsResponse{Instance: s.options.Instance, FailureDomain: s.options.FailureDomain, Region: s.options.Region}, nil
+}
+
 // List lists the members that hold a lease.
 func (s membershipService) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
 	return s.members.Members(), nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -39,8 +39,11 @@
 // Options configures a Server.
 type Options struct {
 	Instance string
-	Log      Log
-	Machine  *state.Machine
+	// FailureDomain and Region are those of this instance.
+	FailureDomain string
+	Region        string
+	Log           Log
+	Machine       *state.Machine
 	// Departures may be nil; what is known of departures then ends with the process.
 	Departures Departures
 	// FailureDomains lists the failure domains that exist whether or not an instance of them was seen.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/control"
+	"samphireflow/internal/copies"
 	"samphireflow/internal/departures"
 	"samphireflow/internal/netfault"
 	"samphireflow/internal/node"
@@ -87,6 +88,7 @@
 			Services:      s.Services,
 			Service:       s.Service,
 			GateAddr:      s.GateAddr,
+			Tolerance:     copies.Tolerance{Instances: s.ToleratedInstances, FailureDomains: s.ToleratedFailureDomains, Regions: s.ToleratedRegions},
 			Direct:        s.UsesControlSeeds(),
 			Timing:        node.Timing{WatchWait: s.WatchWait, StaleAge: s.StaleAge, FloorTimeout: s.FloorTimeout},
 			Logger:        logger.With().Str("role", "node").Logger(),
@@ -138,6 +140,8 @@
 	}
 	d.control = control.New(control.Options{
 		Instance:       d.controlID(),
+		FailureDomain:  d.settings.FailureDomain,
+		Region:         d.settings.Region,
 		Direct:         d.settings.UsesControlSeeds(),
 		Log:            log,
 		Machine:        machine,
--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -48,6 +48,11 @@
 	return response, nil
 }
 
+// StoreDrains returns an error: a relay has no disk (twirp service Membership).
+func (r *Relay) StoreDrains(context.Context, *apiv1.StoreDrainsRequest) (*apiv1.StoreDrainsResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "a relay has no disk")
+}
+
 // List lists the members that this relay knows (twirp service Membership).
 func (r *Relay) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
 	return r.hub.Members(), nil
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -65,6 +65,16 @@
 	return h.table.Drains()
 }
 
+// StoreDrains takes over what records say of the end of backend servers; see Table.StoreDrain. It keeps and modifies the records.
+func (h *Hub) StoreDrains(servers []*apiv1.BackendServer, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer h.notifyChanged()
+	for _, server := range servers {
+		h.table.StoreDrain(server, now)
+	}
+}
+
 // Remember adds records that Drains listed before this process started; see Table.Remember.
 func (h *Hub) Remember(drains []*apiv1.BackendServer, now time.Time) {
 	h.mu.Lock()
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -40,6 +40,9 @@
 	byAddr map[string]string
 	// withdrawals holds backend servers that leave by their name alone. Records of their starts are taken for leaving ones.
 	withdrawals withdrawalSet
+	// storedDrains holds the backend servers of whose end this process has a record on its disk for their node. It hands these
+	// records on like those of its own leases: the home of their leases may fail before it does.
+	storedDrains map[string]bool
 	// lastContact holds the time of the last contact with each other home.
 	lastContact map[string]time.Time
 }
@@ -54,7 +57,9 @@
 		servers:     newLeaseSet(self, c, serverKind),
 		byAddr:      map[string]string{},
 		withdrawals: withdrawalSet{},
-		lastContact: map[string]time.Time{},
+
+		storedDrains: map[string]bool{},
+		lastContact:  map[string]time.Time{},
 	}
 }
 
@@ -118,6 +123,35 @@
 	return LeavingRecord(server)
 }
 
+// StoreDrain takes over what a record says of the end of a backend server or of the orders to drain it. It renews no lease: a start
+// of which the table knows nothing is stored as an ended one, until its node announces it here or elsewhere.
+func (t *Table) StoreDrain(server *apiv1.BackendServer, now time.Time) {
+	if IsWithdrawal(server) {
+		// The clock of the node may be behind.
+		server.StartedUnixMs = max(server.StartedUnixMs, now.UnixMilli())
+		t.withdraw(server, true, now)
+		return
+	}
+	known := t.servers.leases[server.Instance]
+	if known == nil || known.record.Incarnation < server.Incarnation {
+		t.Remember([]*apiv1.BackendServer{server}, now)
+		return
+	}
+	if known.record.Incarnation != server.Incarnation {
+		return
+	}
+	t.storedDrains[server.Instance] = true
+	if drainPrecedence(server, known.record) <= 0 {
+		return
+	}
+	next := proto.Clone(server).(*apiv1.BackendServer)
+	next.Home, next.Revision = known.record.Home, known.record.Revision
+	if known.gone {
+		next = serverKind.end(next)
+	}
+	t.servers.put(next, now)
+}
+
 // Overruling lists the records that are kept in place of those of a renewal, and those of its leaving backend servers.
 func (t *Table) Overruling(request *apiv1.RenewRequest) []*apiv1.BackendServer {
 	var list []*apiv1.BackendServer
@@ -174,13 +208,14 @@
 }
 
 // Remember adds records that Drains listed before this process started, as ended leases. Their revision is the lowest, so that
-// an active lease with the same state wins.
+// an active lease with the same state wins. They are handed on like those of StoreDrain: the others may have lost them.
 func (t *Table) Remember(drains []*apiv1.BackendServer, now time.Time) {
 	for _, server := range drains {
 		if IsWithdrawal(server) {
 			t.withdraw(server, true, now)
 			continue
 		}
+		t.storedDrains[server.Instance] = true
 		ended := serverKind.end(server)
 		ended.Revision = 0
 		t.servers.merge(ended, now)
@@ -311,6 +346,7 @@
 	t.nodes.purge(now)
 	t.servers.purge(now)
 	t.withdrawals.purge(now)
+	maps.DeleteFunc(t.storedDrains, func(instance string, _ bool) bool { return t.servers.leases[instance] == nil })
 }
 
 // Since returns the backend servers that changed after a sequence number. The update is full when seq is 0, lower than
@@ -332,16 +368,23 @@
 	return update
 }
 
-// ChangesAt returns the records of one home that changed after a sync sequence number. The lists are full when since is 0,
-// lower than that of a purged tombstone, or higher than any of this table.
+// ChangesAt returns the records of one home that changed after a sync sequence number, and those of StoreDrain. The lists are full
+// when since is 0, lower than that of a purged tombstone, or higher than any of this table.
 func (t *Table) ChangesAt(home string, since uint64) Changes {
 	since = t.knownPosition(since)
 	withdrawn := t.withdrawals.changed(since, func(w withdrawal) bool { return w.handedOn })
 	return Changes{
-		Nodes: t.nodes.changedAt(home, since), Servers: append(t.servers.changedAt(home, since), withdrawn...), Full: since == 0, Seq: t.counters.syncSeq,
+		Nodes: t.nodes.changedAt(home, since), Servers: append(t.serversToHandOn(home, since), withdrawn...), Full: since == 0, Seq: t.counters.syncSeq,
 	}
 }
 
+// serversToHandOn lists the records of one home and those of StoreDrain that changed after a sync sequence number.
+func (t *Table) serversToHandOn(home string, since uint64) []*apiv1.BackendServer {
+	return t.servers.changed(since, func(l *lease[*apiv1.BackendServer]) bool {
+		return l.record.Home == home || t.storedDrains[l.record.Instance] && CarriesDrain(l.record)
+	})
+}
+
 // ChangesFor returns the records of all homes that changed after a sync sequence number, without the active leases whose home is the
 // receiver. The lists are full in the same cases as those of ChangesAt. A full list has the receiver's own records of drains too: it
 // may have lost them with its disk.
--- a/internal/member/withdrawal_test.go
+++ b/internal/member/withdrawal_test.go
@@ -29,6 +29,7 @@
 // the first heartbeat of its backend server.
 func TestWithdrawalCoversStartsThatNobodyHasHeardOf(t *testing.T) {
 	for name, receive := range map[string]func(*Table, *apiv1.BackendServer){
+		"stored":     func(table *Table, w *apiv1.BackendServer) { table.StoreDrain(w, start) },
 		"renewed":    func(table *Table, w *apiv1.BackendServer) { table.Renew(renew(w), start) },
 		"merged":     func(table *Table, w *apiv1.BackendServer) { table.Merge(nil, []*apiv1.BackendServer{w}, start) },
 		"remembered": func(table *Table, w *apiv1.BackendServer) { table.Remember([]*apiv1.BackendServer{w}, start) },
@@ -52,7 +53,7 @@
 	table := NewTable("home")
 	known := startedAt(start.Add(-time.Hour))
 	require.False(t, renewed(table, known, start).Leaving)
-	table.Merge(nil, []*apiv1.BackendServer{NewWithdrawal("s", "n", start)}, start)
+	table.StoreDrain(NewWithdrawal("s", "n", start), start)
 	require.Equal(t, apiv1.ServerState_SERVER_STATE_DRAINING, table.Servers()[0].State)
 	later := start.Add(withdrawalRetention + time.Second)
 	table.Expire(later)
@@ -65,11 +66,18 @@
 	table := NewTable("home")
 	server := startedAt(start.Add(-time.Hour))
 	require.False(t, renewed(table, server, start).Leaving)
-	table.Merge(nil, []*apiv1.BackendServer{NewWithdrawal("s", "other", start)}, start)
+	table.StoreDrain(NewWithdrawal("s", "other", start), start)
 	require.False(t, table.Servers()[0].Leaving)
 	require.False(t, renewed(table, server, start).Leaving)
 }
 
+// TestClockOfTheNodeBehindItsBackendServer: the withdrawal counts from the later of the clocks of the node and of the control instance.
+func TestClockOfTheNodeBehindItsBackendServer(t *testing.T) {
+	table := NewTable("home")
+	table.StoreDrain(NewWithdrawal("s", "n", start.Add(-15*time.Minute)), start)
+	require.True(t, renewed(table, startedAt(start.Add(-time.Minute)), start).Leaving)
+}
+
 // TestNodeIsToldWhatOthersKnow guards against a node whose short renewals are accepted although another process knew that its backend
 // server leaves: the node would take calls for it as long as nothing else changes.
 func TestNodeIsToldWhatOthersKnow(t *testing.T) {
@@ -80,6 +88,7 @@
 		"a record of its end": func(table *Table, known *apiv1.BackendServer) {
 			table.Merge(nil, []*apiv1.BackendServer{LeavingRecord(known)}, start)
 		},
+		"a stored record": func(table *Table, known *apiv1.BackendServer) { table.StoreDrain(LeavingRecord(known), start) },
 	} {
 		table := NewTable("home")
 		server := startedAt(start.Add(-time.Minute))
@@ -121,6 +130,21 @@
 	require.Empty(t, other.ChangesFor("home", full.Seq).Servers, "and nothing again")
 }
 
+// TestHolderHandsDrainsOn guards against a record that only its holders have, because the home of the leases has failed before it has
+// sent it to the others.
+func TestHolderHandsDrainsOn(t *testing.T) {
+	holder := NewTable("holder")
+	holder.Merge(nil, []*apiv1.BackendServer{startedAt(start.Add(-time.Minute))}, start)
+	seq := holder.SyncSeq()
+	require.Empty(t, holder.ChangesAt("holder", seq).Servers)
+	holder.StoreDrain(LeavingRecord(startedAt(start.Add(-time.Minute))), start)
+	holder.StoreDrain(NewWithdrawal("t", "n", start), start)
+	require.Len(t, holder.ChangesAt("holder", seq).Servers, 2)
+	restarted := NewTable("holder")
+	restarted.Remember(holder.Drains(), start)
+	require.Len(t, restarted.ChangesAt("holder", 0).Servers, 2)
+}
+
 // TestReconcileTakesNoWithdrawalForALease: a full list with a withdrawal does not keep the lease of that name.
 func TestReconcileTakesNoWithdrawalForALease(t *testing.T) {
 	table := NewTable("home")
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -22,7 +22,7 @@
 }
 
 // Announce handles a heartbeat of the backend server beside this node (twirp service Membership). One that says that the
-// backend server leaves is acknowledged once another process has stored that.
+// backend server leaves is acknowledged once that is stored; see acknowledge.
 func (n *Node) Announce(ctx context.Context, request *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
 	if request.Server == nil || request.Server.Instance == "" {
 		return nil, errNoServer
@@ -47,7 +47,7 @@
 		n.renewWithNewRevision()
 	}
 	if request.Server.Leaving {
-		if err := n.awaitStored(ctx); err != nil {
+		if err := n.acknowledge(ctx, request.Server); err != nil {
 			return nil, twirp.NewError(twirp.Unavailable, err.Error())
 		}
 	}
@@ -135,9 +135,8 @@
 }
 
 // Drain marks the backend server as draining at the order of an operator, or with undo puts it back into service. A new
-// incarnation of the backend server is in service again. It returns once another process has stored the order, so that a
-// restart of this node does not undo it; otherwise the error wraps ErrNotStored. Without a backend server there is nothing to
-// drain, and the result is nil.
+// incarnation of the backend server is in service again. It returns once the order is stored; otherwise the error wraps
+// ErrNotStored. Without a backend server there is nothing to drain, and the result is nil.
 func (n *Node) Drain(ctx context.Context, undo bool) (*apiv1.BackendServer, error) {
 	if n.Announced() == nil {
 		return nil, nil
@@ -145,7 +144,12 @@
 	n.mu.Lock()
 	n.drain = n.drain.next(!undo, time.Now())
 	n.mu.Unlock()
-	if err := n.readvertiseAndStore(ctx); err != nil {
+	n.readvertise()
+	drained := n.Announced()
+	if drained == nil {
+		return nil, nil
+	}
+	if err := n.acknowledge(ctx, drained); err != nil {
 		return nil, err
 	}
 	return n.Announced(), nil
--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -5,20 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/member"
 )
 
-// storeTimeout bounds the wait until another process knows what a node is about to acknowledge. A platform that gets no
-// acknowledgement within a second repeats its request.
-const storeTimeout = 800 * time.Millisecond
-
-// ErrNotStored is wrapped by the error for a change of a backend server's state that no other process has confirmed in time.
-// The node acts on the change, but must not acknowledge it: it would forget it in a restart.
-var ErrNotStored = errors.New("no other process has stored that the backend server drains")
-
 const (
 	// departureRetention is the time for which a node passes over late heartbeats of a backend server that has left. Heartbeats
 	// arrive late by seconds.
@@ -65,17 +55,26 @@
 	return slices.DeleteFunc(slices.Clone(d), func(known departure) bool { return known.isPast(now) })
 }
 
-// Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of starts until
-// now are ignored. It returns once another process has stored that, so that a restart of this node does not undo
-// it; otherwise the error wraps ErrNotStored, or member.ErrInvalidServer for an impossible name. An instance that is not the
-// one of the last heartbeat may have been replaced already, or may be the next one, whose heartbeats are late.
+// Withdraw marks the backend server beside this node as draining, because it announced that it stops. Later heartbeats of starts
+// until now are ignored. It returns once the withdrawal is acknowledged; otherwise the error wraps ErrNotStored, or
+// member.ErrInvalidServer for an impossible name. The instance need not be the one of the last heartbeat: that may have been
+// replaced already, or be the next one, whose heartbeats are late.
 func (n *Node) Withdraw(ctx context.Context, instance string) error {
 	if err := member.CheckName(instance); err != nil {
 		return err
 	}
+	n.options.Logger.Info().Str("backend_server", instance).Msg("backend server withdrawn")
+	records := n.withdraw(instance, time.Now())
+	n.readvertise()
+	return n.acknowledge(ctx, records...)
+}
+
+// withdraw records a withdrawal and returns what is to be stored of it.
+func (n *Node) withdraw(instance string, now time.Time) []*apiv1.BackendServer {
 	n.mu.Lock()
-	now := time.Now()
+	defer n.mu.Unlock()
 	n.withdrawn = n.withdrawn.with(departure{instance, now})
+	records := []*apiv1.BackendServer{member.NewWithdrawal(instance, n.options.Instance, now)}
 	if n.lastHeartbeat.instance == instance {
 		n.lastHeartbeat.leaving, n.lastHeartbeat.withdrawn = true, true
 	}
@@ -83,48 +82,50 @@
 		n.announced.server = member.LeavingRecord(n.announced.server)
 		// Without a lease the next renewal would not carry the record.
 		n.announced.expires = now.Add(member.LeaseTime)
+		records = append(records, n.announced.server)
 	}
-	n.mu.Unlock()
-	n.options.Logger.Info().Str("backend_server", instance).Msg("backend server withdrawn")
-	return n.readvertiseAndStore(ctx)
+	return records
 }
 
-// readvertiseAndStore updates the advertised record and waits until the home of the leases has stored it.
-func (n *Node) readvertiseAndStore(ctx context.Context) error {
-	n.readvertise()
-	return n.awaitStored(ctx)
+// acknowledge returns once the records are stored so that they outlast every loss that the settings tolerate, and so that a restart
+// of this node does not undo them. Without it nothing is acknowledged to a backend server that leaves, or to an operator who drains it.
+// Otherwise the error wraps ErrNotStored.
+func (n *Node) acknowledge(ctx context.Context, records ...*apiv1.BackendServer) error {
+	stored := make([]drainKey, len(records))
+	for i, record := range records {
+		stored[i] = drainKeyOf(record)
+	}
+	if n.hasStored(stored) {
+		return nil
+	}
+	if err := n.drains.store(ctx, records); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.storedDrains = stored
+	return nil
 }
 
-// awaitStored waits until the home of the leases has stored the records of the current revision. The error wraps ErrNotStored.
-func (n *Node) awaitStored(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	n.mu.Lock()
-	revision := n.revision
-	n.mu.Unlock()
-	for {
-		n.mu.Lock()
-		stored, changed := n.storedRevision, n.storedChanged
-		n.mu.Unlock()
-		if stored >= revision {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			n.options.Logger.Warn().Uint64("revision", revision).Uint64("stored_revision", stored).Msg("drain not acknowledged, no other process has stored it")
-			return errors.Wrap(ErrNotStored, ctx.Err().Error())
-		}
-	}
+// drainKey identifies what is acknowledged of one start of a backend server.
+type drainKey struct {
+	instance    string
+	incarnation uint64
+	started     int64
+	leaving     bool
+	drainOrder  uint64
+}
+
+func drainKeyOf(record *apiv1.BackendServer) drainKey {
+	return drainKey{record.Instance, record.Incarnation, record.StartedUnixMs, record.Leaving, record.DrainOrder}
 }
 
-// recordStored records that the home of the leases has stored the records of a revision.
-func (n *Node) recordStored(revision uint64) {
+// hasStored reports whether all of this was stored for the last acknowledgement. A draining backend server repeats itself with each
+// heartbeat.
+func (n *Node) hasStored(keys []drainKey) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.storedRevision = max(n.storedRevision, revision)
-	close(n.storedChanged)
-	n.storedChanged = make(chan struct{})
+	return !slices.ContainsFunc(keys, func(key drainKey) bool { return !slices.Contains(n.storedDrains, key) })
 }
 
 // learnOverruling takes over what the home of the leases knows of backend servers beside this node, from before a restart of
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -36,6 +36,14 @@
 	return response, nil
 }
 
+func (h *leaseHome) StoreDrains(_ context.Context, request *apiv1.StoreDrainsRequest) (*apiv1.StoreDrainsResponse, error) {
+	if h.failing.Load() || h.notStored.Load() {
+		return nil, twirp.NewError(twirp.Unavailable, "not stored")
+	}
+	h.hub.StoreDrains(request.Servers, time.Now())
+	return &apiv1.StoreDrainsResponse{Instance: "home"}, nil
+}
+
 // knows reports whether the home has heard of a backend server.
 func (h *leaseHome) knows(instance string) bool {
 	return slices.ContainsFunc(h.hub.Members().Servers, func(server *apiv1.BackendServer) bool { return server.Instance == instance })
@@ -223,7 +231,7 @@
 	for _, request := range []*apiv1.AnnounceRequest{heartbeatOfStart("old", 1000, 1), heartbeatOfStart("new", 2000, 1)} {
 		_, err := n.Announce(t.Context(), request)
 		require.NoError(t, err)
-		require.Eventually(t, func() bool { return n.storedRevisionForTest() }, 5*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return home.knows(request.Server.Instance) }, 5*time.Second, time.Millisecond)
 	}
 	kill()
 
@@ -248,13 +256,6 @@
 	require.Equal(t, ready, n.LocalServer().State, "the next start is in service")
 }
 
-// storedRevisionForTest reports whether the home has stored the current revision.
-func (n *Node) storedRevisionForTest() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.storedRevision >= n.revision
-}
-
 // TestWithdrawalOfAnInstanceThatNobodyHasHeardOf guards against a withdrawal that only the memory of the node keeps, because its backend
 // server's heartbeats are late and neither the node nor the home of the leases has heard of this start, or of any.
 func TestWithdrawalOfAnInstanceThatNobodyHasHeardOf(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	relay    *distribution.Relay
 	ownRelay *distribution.Client
 	selector *selector
+	drains   *drainStore
 	outcomes *outcome.Aggregator
 	// reporter is owned by the report goroutine.
 	reporter *distribution.Reporter
@@ -47,12 +48,10 @@
 	// withdrawn holds the backend servers that have announced by their name alone that they stop.
 	withdrawn departures
 	revision  uint64
-	// storedRevision is the newest revision whose records the home of the leases has stored. storedChanged is closed and
-	// replaced when it changes.
-	storedRevision uint64
-	storedChanged  chan struct{}
-	applied        announceSchedule
-	drain          drainOrder
+	// storedDrains is what was stored for the last acknowledgement.
+	storedDrains []drainKey
+	applied      announceSchedule
+	drain        drainOrder
 	// coldUntil is the end of the coldness of the announced backend server, and advertisedCold the end that the advertised
 	// record tells.
 	coldUntil, advertisedCold time.Time
@@ -103,14 +102,13 @@
 		options.Client = distribution.NewHTTPClient()
 	}
 	n := &Node{
-		options:       options,
-		incarnation:   uint64(time.Now().UnixNano()),
-		outcomes:      outcome.NewAggregator(options.FailureDomain),
-		renewNow:      make(chan struct{}, 1),
-		storedChanged: make(chan struct{}),
-		applier:       applier{failureDomain: options.FailureDomain},
-		directory:     member.NewDirectory(),
-		registry:      routing.NewRegistry(),
+		options:     options,
+		incarnation: uint64(time.Now().UnixNano()),
+		outcomes:    outcome.NewAggregator(options.FailureDomain),
+		renewNow:    make(chan struct{}, 1),
+		applier:     applier{failureDomain: options.FailureDomain},
+		directory:   member.NewDirectory(),
+		registry:    routing.NewRegistry(),
 
 		membersBudget: rate.NewLimiter(membersRate, membersBurst),
 	}
@@ -126,6 +124,11 @@
 	})
 	n.ownRelay = &distribution.Client{Addr: options.ControlAddr, Distribution: n.relay, Membership: n.relay, Relay: n.relay}
 	n.selector = newSelector(options, n.ownRelay, n.dial)
+	n.drains = &drainStore{
+		instance: options.Instance, failureDomain: options.FailureDomain, tolerance: options.Tolerance, holders: n.selector.holders,
+		dial:   func(addr string) *distribution.Client { return distribution.Dial(addr, options.Client) },
+		logger: options.Logger,
+	}
 	n.reporter = distribution.NewReporter(n.outcomes, &apiv1.ReportRequest{
 		Instance:      options.Instance,
 		FailureDomain: options.FailureDomain,
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/copies"
 )
 
 // Options are the settings of a node.
@@ -29,6 +30,8 @@
 	Service string
 	// GateAddr is the address of this node's gate, where that is not the control address.
 	GateAddr string
+	// Tolerance is what may be lost at the same time without the loss of what this node has acknowledged.
+	Tolerance copies.Tolerance
 	// Direct makes the node watch the control instances without relays, and learn the addresses of further ones.
 	Direct bool
 	// Timing holds the intervals that depend on the size of the deployment; zero values are those of a large one.
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -104,9 +104,6 @@
 		n.wakeRenewal()
 	default:
 		n.lastRenewal = renewal{receiver: to, revision: revision}
-		if !response.DrainNotStored {
-			n.recordStored(revision)
-		}
 	}
 	return true
 }
--- a/internal/node/selector.go
+++ b/internal/node/selector.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/copies"
 	"samphireflow/internal/distribution"
 )
 
@@ -101,6 +102,23 @@
 	return addrs
 }
 
+// holders lists the known control instances as holders of copies: the one in use first, then those of the node's failure domain.
+func (s *selector) holders() []copies.Holder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inUse := s.choices[s.current].Addr
+	var holders []copies.Holder
+	for _, instance := range s.ranked() {
+		holder := copies.Holder{Addr: instance.ControlAddr, FailureDomain: instance.FailureDomain}
+		if holder.Addr == inUse {
+			holders = slices.Insert(holders, 0, holder)
+		} else {
+			holders = append(holders, holder)
+		}
+	}
+	return holders
+}
+
 // nearer returns the control instance of the node's failure domain to prefer over the upstream in use, nil if there is
 // none, or while relays are assigned.
 func (s *selector) nearer() *distribution.Client {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,11 @@
 	FailureDomains []string `validate:"dive,name" flag:"failure-domains"`
 	// MaxDescriptors is the number of descriptors that the process may have open. Zero selects the limit of the system.
 	MaxDescriptors int `validate:"gte=0" flag:"max-descriptors"`
+	// ToleratedInstances, ToleratedFailureDomains and ToleratedRegions say what may be lost at the same time without the loss of what
+	// a node has acknowledged: so many control instances, or all of so many failure domains, or all of so many regions.
+	ToleratedInstances      int `validate:"gte=0" flag:"tolerated-instances"`
+	ToleratedFailureDomains int `validate:"gte=0" flag:"tolerated-failure-domains"`
+	ToleratedRegions        int `validate:"gte=0" flag:"tolerated-regions"`
 	// Seeds lists the control addresses of some nodes in the same failure domain.
 	Seeds []string `validate:"dive,ipport" flag:"seeds"`
 	// Services lists the services that the callers of this node call. An empty list means all services.
@@ -95,6 +100,12 @@
 	Check bool
 }
 
+// The smallest control group that outlasts a loss has three instances, and outlasts that of one.
+const (
+	DefaultToleratedInstances      = 1
+	DefaultToleratedFailureDomains = 1
+)
+
 // ErrUsage is wrapped by errors about malformed command lines.
 var ErrUsage = errors.New("usage")
 
@@ -167,6 +178,9 @@
 	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
 	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the process is killed from outside; 0 for none")
 	flags.IntVar(&s.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may have open; 0 for the limit of the system")
+	flags.IntVar(&s.ToleratedInstances, "tolerated-instances", DefaultToleratedInstances, "control instances that may be lost at the same time without the loss of what is acknowledged (node)")
+	flags.IntVar(&s.ToleratedFailureDomains, "tolerated-failure-domains", DefaultToleratedFailureDomains, "failure domains that may be lost at the same time without that (node)")
+	flags.IntVar(&s.ToleratedRegions, "tolerated-regions", 0, "regions that may be lost at the same time without that (node)")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return listFlags{
 		peers:            flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
--- a/test/traffic/drain_test.go
+++ b/test/traffic/drain_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/deployment"
@@ -46,7 +47,8 @@
 }
 
 // TestDrainOfPartitionedNode partitions every node from the control instances before the drain, so that no node
-// learns of it through the membership.
+// learns of it through the membership. The node acts on the order, but does not acknowledge it before it is stored on the disks of the
+// control instances.
 func TestDrainOfPartitionedNode(t *testing.T) {
 	ctx, d := harness.Start(t, deployment.Ploughline())
 	calls := startCallers(ctx, d)
@@ -59,11 +61,21 @@
 	server := findProcess(t, d, deployment.RoleBackendServer, node.Instance)
 	client := apiv1.NewTrafficProtobufClient("http://"+node.ControlAddr, http.DefaultClient)
 	_, err := client.Drain(ctx, &apiv1.DrainRequest{})
-	require.NoError(t, err)
+	var refused twirp.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, twirp.Unavailable, refused.Code())
 	time.Sleep(drainPropagation)
 	before := countExecutions(t, server)
 	time.Sleep(quietPeriod)
 	require.Equal(t, before, countExecutions(t, server), "no new work")
+	for _, node := range harness.ByRole(d, deployment.RoleNode) {
+		require.NoError(t, d.BlockTraffic(ctx, node))
+	}
+	harness.Eventually(ctx, t, "acknowledgement of the repeated order", 10*time.Second, func() bool {
+		_, err := client.Drain(ctx, &apiv1.DrainRequest{})
+		return err == nil
+	})
+	require.Equal(t, before, countExecutions(t, server), "no new work")
 	got := calls.stop()
 	require.Empty(t, got.interrupted)
 }
