Exchange: a response is not complete if its connection failed under the upload

Cause: the kernel reports the failure of a connection once. The goroutine that writes the upload takes the error, and the read that follows returns a regular end, which ends a body without a length.

conn.completeBody is now the one place that tells whether a response is complete. For a body that ends with its connection it stops the write in progress, waits for it, and looks at the error with which a write has failed; EPIPE says that the other side has ended regularly.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -114,7 +114,7 @@
 
 // run sends the request and reads the response.
 func (e *activeExchange) run() (*Response, error) {
-	n, err := e.conn.netConn.Write(e.conn.encodeRequest(e.request))
+	n, err := e.conn.writer.Write(e.conn.encodeRequest(e.request))
 	e.sent = n > 0
 	if err != nil {
 		return nil, err
@@ -125,7 +125,7 @@
 			pieceBytes = streamBufferSize
 		}
 		e.streamResult = make(chan error, 1)
-		go func() { e.streamResult <- writeStream(e.conn.netConn, e.request, pieceBytes) }()
+		go func() { e.streamResult <- writeStream(e.conn.writer, e.request, pieceBytes) }()
 	}
 	response, err := e.conn.readResponse(e.request)
 	if err != nil {
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -37,6 +37,7 @@
 type conn struct {
 	netConn net.Conn
 	addr    string
+	writer  *connWriter
 	reader  *bufio.Reader
 	limit   *limitReader
 	// idleSince is the end of the last exchange. peerIdleTimeout is the time for which the server keeps an idle
@@ -68,7 +69,7 @@
 
 func newConn(netConn net.Conn, addr string) *conn {
 	limit := &limitReader{netConn: netConn}
-	return &conn{netConn: netConn, addr: addr, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
+	return &conn{netConn: netConn, addr: addr, writer: &connWriter{netConn: netConn}, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
 }
 
 // usable reports whether an idle connection is still open and has no bytes to read. Bytes that arrive while no request
@@ -138,12 +139,39 @@
 			}
 		}
 		if response.StatusCode >= http.StatusOK {
+			response.Body = c.completeBody(response)
 			return response, nil
 		}
 	}
 	return nil, errors.New("too many interim answers")
 }
 
+// completeBody returns the body of a response, which ends with io.EOF only if the response is complete. A length or chunks tell where
+// it ends. Without them the end of the connection does, but not its failure.
+func (c *conn) completeBody(response *http.Response) io.ReadCloser {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return response.Body
+	}
+	return &bodyUntilClose{ReadCloser: response.Body, writer: c.writer}
+}
+
+// bodyUntilClose is a body that ends with its connection.
+type bodyUntilClose struct {
+	io.ReadCloser
+	writer *connWriter
+}
+
+// Read implements io.Reader.
+func (b *bodyUntilClose) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		if failure := b.writer.confirmEnd(); failure != nil {
+			err = failure
+		}
+	}
+	return n, err
+}
+
 // widen enlarges the receive buffer for a long response. Without the larger one the response takes longer.
 func (c *conn) widen() {
 	if tcp, ok := c.netConn.(interface{ SetReadBuffer(bytes int) error }); ok {
