Callers of HTTP/1.0: no chunks, and a reset where a response breaks off

A caller of HTTP/1.0 got a long response without a length in chunks, whose framing it takes for a part of the body; a response that breaks off would have been complete to it, since its connection closed regularly. Found while looking for other ways for a broken response to look complete; callers of the users' platform speak HTTP/1.1.

Its body now ends with the connection, which is reset where the response is incomplete.

TestCallerOfHTTP10GetsNoChunks failed before at the Transfer-Encoding field.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -187,6 +187,16 @@
 	return err
 }
 
+// Reset closes the connection so that the caller does not take its end for that of a response. A connection without that ability is
+// closed.
+func (c *Conn) Reset() error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// If it fails, the connection has failed already.
+		_ = tcp.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // end gives back what the connection holds in its account. It is called when its session has ended.
 func (c *Conn) end() { c.account.End() }
 
--- a/internal/callerconn/response.go
+++ b/internal/callerconn/response.go
@@ -34,7 +34,9 @@
 	buffer   bytes.Buffer
 	headSent bool
 	chunked  bool
-	writeErr error
+	// untilClose is set if the end of the connection is that of the body: a caller of HTTP/1.0 knows no chunks.
+	untilClose bool
+	writeErr   error
 }
 
 func newResponse(s *session, r *http.Request, previousDone chan struct{}) *response {
@@ -90,6 +92,10 @@
 // abort closes the connection, so that the caller does not take an incomplete response for a complete one.
 func (w *response) abort() {
 	w.session.broken.Store(true)
+	if w.untilClose {
+		_ = w.session.conn.Reset()
+		return
+	}
 	_ = w.session.conn.Close()
 }
 
@@ -181,11 +187,14 @@
 	w.closesConn = w.session.decideClose(w)
 	noBody := w.request.Method == http.MethodHead || w.status == http.StatusNoContent || w.status == http.StatusNotModified
 	if w.header.Get("Content-Length") == "" && !noBody {
-		if final {
+		switch {
+		case final:
 			w.header.Set("Content-Length", strconv.Itoa(w.buffer.Len()))
-		} else {
+		case w.request.ProtoAtLeast(1, 1):
 			w.chunked = true
 			w.header.Set("Transfer-Encoding", "chunked")
+		default:
+			w.untilClose = true
 		}
 	}
 	if w.closesConn {
--- a/internal/resources/conn.go
+++ b/internal/resources/conn.go
@@ -100,6 +100,14 @@
 	}
 }
 
+// SetLinger sets what a close does with bytes that were not sent; 0 resets the connection.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite closes the sending direction.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
