Do not take the next start under a withdrawn name for the one before it

A backend server that starts again under its name within a minute of its DELETE was taken out of service: the node still named it as leaving in its renewals, and the home marked the record that it had under that name, which was the next start.

A name counts only for a backend server that the same renewal does not announce, and nodes leave out the name of one that is in service, because control instances of the earlier release go by it. The withdrawal itself tells until when starts are covered.

TestNextStartUnderAWithdrawnNameIsInService failed before.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -96,6 +96,10 @@
 		t.resolveAddrConflict(server.Instance, now)
 	}
 	for _, instance := range request.LeavingServers {
+		if announces(request, instance) {
+			// That is the next start under this name.
+			continue
+		}
 		if known := t.servers.leases[instance]; known != nil && known.record.Node == request.Node.GetInstance() && !known.record.Leaving {
 			t.servers.put(LeavingRecord(known.record), now)
 		}
@@ -103,6 +107,11 @@
 	return mustExceed
 }
 
+// announces reports whether a renewal announces a backend server that does not leave.
+func announces(request *apiv1.RenewRequest, instance string) bool {
+	return slices.ContainsFunc(request.Servers, func(server *apiv1.BackendServer) bool { return server.Instance == instance && !server.Leaving })
+}
+
 // withdraw stores a withdrawal, and marks the start that the table knows as leaving. A start that is announced later is marked then.
 // With handOn, this process hands it on to all others.
 func (t *Table) withdraw(record *apiv1.BackendServer, handOn bool, now time.Time) {
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -288,3 +288,30 @@
 		kill()
 	}
 }
+
+// TestNextStartUnderAWithdrawnNameIsInService guards against a start that is taken for the one before it under the same name, because the
+// node still tells that one's withdrawal.
+func TestNextStartUnderAWithdrawnNameIsInService(t *testing.T) {
+	home := startLeaseHome(t)
+	n, kill := home.startNode(t)
+	defer kill()
+	beat := func(started time.Time, sequence uint64) {
+		request := heartbeatOf(sequence, ready)
+		request.Server.StartedUnixMs = started.UnixMilli()
+		request.Server.Incarnation = uint64(request.Server.StartedUnixMs)
+		_, err := n.Announce(t.Context(), request)
+		require.NoError(t, err)
+	}
+	beat(time.Now().Add(-time.Minute), 1)
+	require.Eventually(t, func() bool { return home.knows("s") }, 5*time.Second, time.Millisecond)
+	require.NoError(t, n.Withdraw(t.Context(), "s"))
+	time.Sleep(2 * time.Millisecond)
+	beat(time.Now(), 1)
+	inService := func() bool {
+		state, ok := home.stateAtHome()
+		return ok && state == ready && n.LocalServer().GetState() == ready
+	}
+	require.Eventually(t, inService, 5*time.Second, time.Millisecond)
+	n.renewWithNewRevision()
+	require.Never(t, func() bool { return !inService() }, 200*time.Millisecond, time.Millisecond)
+}
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -159,8 +159,10 @@
 	}
 	now := time.Now()
 	for _, known := range n.withdrawn.recent(now) {
-		// Earlier releases know the name only.
-		request.LeavingServers = append(request.LeavingServers, known.instance)
+		if n.announced == nil || n.announced.server.Instance != known.instance || n.announced.server.Leaving {
+			// Earlier releases know the name only, and would take it for that of a start which is in service now.
+			request.LeavingServers = append(request.LeavingServers, known.instance)
+		}
 		request.Servers = append(request.Servers, member.NewWithdrawal(known.instance, n.options.Instance, known.at))
 	}
 	if advertised := n.advertisedServer(now); advertised != nil {
