Store the drains of nodes of the earlier release in as many copies

While nodes of two releases run side by side, those of the earlier one still acknowledged a DELETE on one copy: they take the answer to the renewal that carries it for the acknowledgement.

The control instance now stores the copies itself before it answers a renewal with a drain, unless the node says that it does (stores_drains). A backend server that the node only names is taken for withdrawn when it is first named. DrainStore moves from node to distribution for that.

--- a/internal/control/departure_loop_test.go
+++ b/internal/control/departure_loop_test.go
@@ -59,7 +59,7 @@
 	var renewing sync.WaitGroup
 	for i := range leaving {
 		renewing.Go(func() {
-			response, err := membershipService{s}.Renew(context.Background(), &apiv1.RenewRequest{Servers: []*apiv1.BackendServer{leavingServer(fmt.Sprint("s", i))}})
+			response, err := membershipService{s}.Renew(context.Background(), &apiv1.RenewRequest{StoresDrains: true, Servers: []*apiv1.BackendServer{leavingServer(fmt.Sprint("s", i))}})
 			if err != nil || response.DrainNotStored {
 				t.Errorf("not stored: %v", err)
 			}
@@ -81,7 +81,7 @@
 	s.members.Merge("c9", nil, many, time.Now())
 	for i := range 5 {
 		name := fmt.Sprint("s", i)
-		response, err := membershipService{s}.Renew(context.Background(), &apiv1.RenewRequest{Servers: []*apiv1.BackendServer{leavingServer(name)}})
+		response, err := membershipService{s}.Renew(context.Background(), &apiv1.RenewRequest{StoresDrains: true, Servers: []*apiv1.BackendServer{leavingServer(name)}})
 		require.NoError(t, err)
 		require.False(t, response.DrainNotStored)
 		require.True(t, storedInstances(t, disk)[name])
--- a/internal/control/drain_copies_test.go
+++ b/internal/control/drain_copies_test.go
@@ -100,7 +100,7 @@
 	require.NoError(c.group.t, err)
 	machine := state.NewMachine()
 	log.machine = machine
-	c.server = New(Options{Instance: c.id, FailureDomain: c.domain, Region: "r", Log: log, Machine: machine, Departures: stored, Direct: true, Logger: zerolog.Nop()})
+	c.server = New(Options{Instance: c.id, FailureDomain: c.domain, Region: "r", Log: log, Machine: machine, Departures: stored, Direct: true, Tolerance: oneOfEach, Logger: zerolog.Nop()})
 	mux := http.NewServeMux()
 	c.server.Register(mux)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -409,6 +409,45 @@
 	}
 }
 
+// TestDrainsOfNodesOfEarlierReleases: such a node acknowledges a drain with the answer to the renewal that carries it, and names a backend
+// server of which it has heard nothing.
+func TestDrainsOfNodesOfEarlierReleases(t *testing.T) {
+	t.Parallel()
+	g := newDrainGroup(t, "a", "b", "c")
+	revision := uint64(0)
+	renew := func(leavingServers []string, servers ...*apiv1.BackendServer) *apiv1.RenewResponse {
+		revision++
+		for _, server := range servers {
+			server.Node, server.Revision = "n", revision
+		}
+		request := &apiv1.RenewRequest{Node: &apiv1.NodeInfo{Instance: "n", Incarnation: 1, Revision: revision}, Servers: servers, LeavingServers: leavingServers}
+		response, err := membershipService{g.instances[0].server}.Renew(context.Background(), request)
+		require.NoError(t, err)
+		return response
+	}
+	started := time.Now().Add(-time.Minute)
+	require.Empty(t, renew(nil, beat("s", started, 1, serverReady).Server).Overruling)
+	leaving := beat("s", started, 1, serverDraining).Server
+	leaving.Leaving = true
+	require.False(t, renew(nil, leaving).DrainNotStored)
+	require.GreaterOrEqual(t, g.copies("s"), 2)
+
+	require.False(t, renew([]string{"unheard"}).DrainNotStored)
+	require.GreaterOrEqual(t, g.copies("unheard"), 2)
+	require.NotEmpty(t, renew([]string{"unheard"}, beat("unheard", started, 1, serverReady).Server).Overruling, "a late heartbeat")
+	time.Sleep(2 * time.Millisecond)
+	next := time.Now()
+	time.Sleep(2 * time.Millisecond)
+	for range 2 {
+		require.Empty(t, renew([]string{"unheard"}, beat("unheard", next, 1, serverReady).Server).Overruling, "the next start is in service")
+	}
+
+	g.instances[1].kill()
+	require.False(t, renew([]string{"another"}).DrainNotStored)
+	g.instances[2].kill()
+	require.True(t, renew([]string{"third"}).DrainNotStored)
+}
+
 // TestCutOffSideAcknowledgesNothing: a node that reaches one control instance of three acts on a withdrawal and does not acknowledge it.
 func TestCutOffSideAcknowledgesNothing(t *testing.T) {
 	t.Parallel()
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/twitchtv/twirp"
 
@@ -27,13 +26,36 @@
 		AgeMs:   uint64(s.options.Log.Status().LastContact.Milliseconds()),
 	}
 	s.members.Renew(request, response, s.now())
-	carriesDrain := slices.ContainsFunc(request.Servers, member.CarriesDrain) || len(request.LeavingServers) > 0
-	if carriesDrain && s.departureSaver.Wait(ctx) != nil {
-		response.DrainNotStored = true
+	drains := s.drainsOf(request)
+	switch {
+	case len(drains) == 0:
+	case request.StoresDrains:
+		response.DrainNotStored = s.departureSaver.Wait(ctx) != nil
+	default:
+		response.DrainNotStored = s.drains.Store(ctx, drains) != nil
 	}
 	return response, nil
 }
 
+// drainsOf lists the records of drains in a renewal. Backend servers that earlier releases name only are taken for withdrawn when they
+// are first named, unless the renewal announces them: that is their next start.
+func (s membershipService) drainsOf(request *apiv1.RenewRequest) []*apiv1.BackendServer {
+	var drains []*apiv1.BackendServer
+	listed := map[string]bool{}
+	for _, server := range request.Servers {
+		listed[server.Instance] = true
+		if member.CarriesDrain(server) {
+			drains = append(drains, server)
+		}
+	}
+	for _, instance := range request.LeavingServers {
+		if !listed[instance] {
+			drains = append(drains, s.members.Withdrawal(instance, request.Node.GetInstance(), s.now()))
+		}
+	}
+	return drains
+}
+
 // StoreDrains stores the records on the disk of this instance. The node that sends them acknowledges them once enough instances have
 // done so.
 func (s membershipService) StoreDrains(ctx context.Context, request *apiv1.StoreDrainsRequest) (*apiv1.StoreDrainsResponse, error) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/copies"
 	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
 	"samphireflow/internal/netfault"
@@ -44,6 +46,8 @@
 	Region        string
 	Log           Log
 	Machine       *state.Machine
+	// Tolerance is what may be lost at the same time without the loss of what is acknowledged for nodes of earlier releases.
+	Tolerance copies.Tolerance
 	// Departures may be nil; what is known of departures then ends with the process.
 	Departures Departures
 	// FailureDomains lists the failure domains that exist whether or not an instance of them was seen.
@@ -64,6 +68,7 @@
 	snapshotBuilder    *snapshotBuilder
 	readBatcher        *batcher
 	departureSaver     *batcher
+	drains             *distribution.DrainStore
 	watchServer        *distribution.WatchServer
 	outcomes           *outcome.Aggregator
 	reportDeduplicator *distribution.ReportDeduplicator
@@ -111,6 +116,10 @@
 		s.domains.add(name)
 	}
 	s.departureSaver = newBatcher(s.saveDepartures)
+	s.drains = &distribution.DrainStore{
+		Instance: options.Instance, FailureDomain: options.FailureDomain, Tolerance: options.Tolerance, Holders: s.drainHolders,
+		Client: peerClient, Logger: options.Logger,
+	}
 	if options.Departures != nil {
 		members.Remember(options.Departures.Servers(), started)
 	}
@@ -145,6 +154,20 @@
 	return addrs
 }
 
+// drainHolders lists the control instances as holders of copies, this one first.
+func (s *Server) drainHolders() []copies.Holder {
+	var holders []copies.Holder
+	for _, instance := range s.options.Log.Status().Members {
+		holder := copies.Holder{Addr: instance.ControlAddr, FailureDomain: instance.FailureDomain}
+		if instance.ID == s.options.Instance {
+			holders = slices.Insert(holders, 0, holder)
+		} else {
+			holders = append(holders, holder)
+		}
+	}
+	return holders
+}
+
 // Register mounts the twirp services of the control role.
 func (s *Server) Register(mux *http.ServeMux) {
 	handle(mux, apiv1.NewConfigServer(s))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,7 +88,7 @@
 			Services:      s.Services,
 			Service:       s.Service,
 			GateAddr:      s.GateAddr,
-			Tolerance:     copies.Tolerance{Instances: s.ToleratedInstances, FailureDomains: s.ToleratedFailureDomains, Regions: s.ToleratedRegions},
+			Tolerance:     d.tolerance(),
 			Direct:        s.UsesControlSeeds(),
 			Timing:        node.Timing{WatchWait: s.WatchWait, StaleAge: s.StaleAge, FloorTimeout: s.FloorTimeout},
 			Logger:        logger.With().Str("role", "node").Logger(),
@@ -142,6 +142,7 @@
 		Instance:       d.controlID(),
 		FailureDomain:  d.settings.FailureDomain,
 		Region:         d.settings.Region,
+		Tolerance:      d.tolerance(),
 		Direct:         d.settings.UsesControlSeeds(),
 		Log:            log,
 		Machine:        machine,
@@ -152,6 +153,13 @@
 	return nil
 }
 
+// tolerance returns what may be lost at the same time.
+func (d *Daemon) tolerance() copies.Tolerance {
+	return copies.Tolerance{
+		Instances: d.settings.ToleratedInstances, FailureDomains: d.settings.ToleratedFailureDomains, Regions: d.settings.ToleratedRegions,
+	}
+}
+
 // controlID returns the ID of this instance in the control group. It is the control address where control instances are
 // found from seeds, because then only the addresses of the others are known.
 func (d *Daemon) controlID() string {
--- a/internal/node/drain_store.go
+++ b/internal/distribution/drain_store.go
@@ -1,7 +1,8 @@
-package node
+package distribution
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,7 +12,6 @@
 
 	apiv1 "samphireflow/api/v1"
 	"samphireflow/internal/copies"
-	"samphireflow/internal/distribution"
 )
 
 const (
@@ -27,19 +27,20 @@
 )
 
 // ErrNotStored is wrapped by the error for a change of a backend server's state that too few control instances have stored in time.
-// The node acts on the change, but must not acknowledge it: it would forget it in a restart.
+// A node acts on the change, but must not acknowledge it: it would forget it in a restart.
 var ErrNotStored = errors.New("too few control instances have stored that the backend server drains")
 
-// drainStore stores on the disks of control instances what a node acknowledges to its backend server or to an operator. It asks the
-// control instances itself, whichever process its leases are renewed at: that one may be away.
-type drainStore struct {
-	instance      string
-	failureDomain string
-	tolerance     copies.Tolerance
-	// holders lists the known control instances, the preferred ones first.
-	holders func() []copies.Holder
-	dial    func(addr string) *distribution.Client
-	logger  zerolog.Logger
+// DrainStore stores on the disks of control instances what is acknowledged to a backend server that leaves, or to an operator who
+// drains it.
+type DrainStore struct {
+	// Instance and FailureDomain are those of this process.
+	Instance      string
+	FailureDomain string
+	Tolerance     copies.Tolerance
+	// Holders lists the known control instances, the preferred ones first.
+	Holders func() []copies.Holder
+	Client  *http.Client
+	Logger  zerolog.Logger
 }
 
 // storeAnswer is the answer of one control instance.
@@ -48,14 +49,14 @@
 	err    error
 }
 
-// store returns once so many control instances have stored the records that these outlast every tolerated loss. Otherwise the error
+// Store returns once so many control instances have stored the records that these outlast every tolerated loss. Otherwise the error
 // wraps ErrNotStored.
-func (s *drainStore) store(ctx context.Context, records []*apiv1.BackendServer) error {
+func (s *DrainStore) Store(ctx context.Context, records []*apiv1.BackendServer) error {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	holders := s.holders()
-	collection := copies.NewCollection(s.tolerance, holders)
+	holders := s.Holders()
+	collection := copies.NewCollection(s.Tolerance, holders)
 	answers := make(chan storeAnswer)
 	ask := func(list []copies.Holder) {
 		for _, holder := range list {
@@ -81,7 +82,7 @@
 				collection.Stored(answer.holder)
 				continue
 			}
-			s.logger.Debug().Err(answer.err).Str("control", answer.holder.Addr).Msg("drain not stored by a control instance")
+			s.Logger.Debug().Err(answer.err).Str("control", answer.holder.Addr).Msg("drain not stored by a control instance")
 			collection.Failed(answer.holder.Addr)
 			ask(collection.Next())
 		case <-retry.C:
@@ -91,12 +92,12 @@
 		case <-patience.C:
 			collection.GiveUpWaiting()
 		case <-ctx.Done():
-			s.logger.Warn().Strs("stored_by", addrsOf(collection.Holders())).Int("control_instances", len(holders)).
+			s.Logger.Warn().Strs("stored_by", addrsOf(collection.Holders())).Int("control_instances", len(holders)).
 				Dur("took_ms", time.Since(began)).Msg("drain not acknowledged, too few control instances have stored it")
 			return errors.Wrap(ErrNotStored, ctx.Err().Error())
 		}
 	}
-	s.logger.Info().Strs("stored_by", addrsOf(collection.Holders())).Dur("took_ms", time.Since(began)).Msg("drain stored")
+	s.Logger.Info().Strs("stored_by", addrsOf(collection.Holders())).Dur("took_ms", time.Since(began)).Msg("drain stored")
 	return nil
 }
 
@@ -109,8 +110,8 @@
 }
 
 // ask has one control instance store the records.
-func (s *drainStore) ask(ctx context.Context, holder copies.Holder, records []*apiv1.BackendServer) storeAnswer {
-	client := s.dial(holder.Addr)
+func (s *DrainStore) ask(ctx context.Context, holder copies.Holder, records []*apiv1.BackendServer) storeAnswer {
+	client := Dial(holder.Addr, s.Client)
 	response, err := client.Membership.StoreDrains(ctx, &apiv1.StoreDrainsRequest{Servers: records})
 	var serviceError twirp.Error
 	if errors.As(err, &serviceError) && serviceError.Code() == twirp.BadRoute {
@@ -125,8 +126,8 @@
 // askEarlierRelease has a control instance store the records that does not know StoreDrains. It stores the drains that another
 // process syncs before it answers, but does not say if it fails to. A revision below all others lets the records of the node's
 // renewals replace these.
-func (s *drainStore) askEarlierRelease(ctx context.Context, client *distribution.Client, records []*apiv1.BackendServer) error {
-	request := &apiv1.SyncRequest{Instance: s.instance, FailureDomain: s.failureDomain}
+func (s *DrainStore) askEarlierRelease(ctx context.Context, client *Client, records []*apiv1.BackendServer) error {
+	request := &apiv1.SyncRequest{Instance: s.Instance, FailureDomain: s.FailureDomain}
 	for _, record := range records {
 		synced := proto.Clone(record).(*apiv1.BackendServer)
 		synced.Revision = 1
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// Withdrawal returns the known withdrawal of a backend server beside a node, or a new one. The record must not be modified.
+func (h *Hub) Withdrawal(instance, node string, now time.Time) *apiv1.BackendServer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known, ok := h.table.withdrawals[withdrawalKey{instance, node}]; ok {
+		return known.record
+	}
+	return NewWithdrawal(instance, node, now)
+}
+
 // Remember adds records that Drains listed before this process started; see Table.Remember.
 func (h *Hub) Remember(drains []*apiv1.BackendServer, now time.Time) {
 	h.mu.Lock()
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -136,9 +136,11 @@
 // of which the table knows nothing is stored as an ended one, until its node announces it here or elsewhere.
 func (t *Table) StoreDrain(server *apiv1.BackendServer, now time.Time) {
 	if IsWithdrawal(server) {
-		// The clock of the node may be behind.
-		server.StartedUnixMs = max(server.StartedUnixMs, now.UnixMilli())
-		t.withdraw(server, true, now)
+		if !t.withdrawals.has(server) {
+			// The clock of the node may be behind.
+			server.StartedUnixMs = max(server.StartedUnixMs, now.UnixMilli())
+			t.withdraw(server, true, now)
+		}
 		return
 	}
 	known := t.servers.leases[server.Instance]
--- a/internal/member/withdrawal.go
+++ b/internal/member/withdrawal.go
@@ -47,13 +47,19 @@
 	return ok && now.Before(known.expires) && server.StartedUnixMs <= known.record.StartedUnixMs
 }
 
+// has reports whether the set holds this withdrawal or a newer one.
+func (s withdrawalSet) has(record *apiv1.BackendServer) bool {
+	known, ok := s[withdrawalKeyOf(record)]
+	return ok && record.StartedUnixMs <= known.record.StartedUnixMs
+}
+
 // add stores a withdrawal if it is newer than the known one. It reports whether it did.
 func (s withdrawalSet) add(record *apiv1.BackendServer, handedOn bool, syncSeq uint64, now time.Time) bool {
-	key := withdrawalKeyOf(record)
-	known, ok := s[key]
-	if ok && record.StartedUnixMs <= known.record.StartedUnixMs {
+	if s.has(record) {
 		return false
 	}
+	key := withdrawalKeyOf(record)
+	known := s[key]
 	s[key] = withdrawal{record: record, syncSeq: syncSeq, expires: now.Add(withdrawalRetention), handedOn: handedOn || known.handedOn}
 	return true
 }
--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -6,9 +6,13 @@
 	"time"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
 )
 
+// ErrNotStored is wrapped by the error for a change that is not acknowledged; see distribution.ErrNotStored.
+var ErrNotStored = distribution.ErrNotStored
+
 const (
 	// departureRetention is the time for which a node passes over late heartbeats of a backend server that has left. Heartbeats
 	// arrive late by seconds.
@@ -98,7 +102,7 @@
 	if n.hasStored(stored) {
 		return nil
 	}
-	if err := n.drains.store(ctx, records); err != nil {
+	if err := n.drains.Store(ctx, records); err != nil {
 		return err
 	}
 	n.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,7 +26,7 @@
 	relay    *distribution.Relay
 	ownRelay *distribution.Client
 	selector *selector
-	drains   *drainStore
+	drains   *distribution.DrainStore
 	outcomes *outcome.Aggregator
 	// reporter is owned by the report goroutine.
 	reporter *distribution.Reporter
@@ -124,10 +124,9 @@
 	})
 	n.ownRelay = &distribution.Client{Addr: options.ControlAddr, Distribution: n.relay, Membership: n.relay, Relay: n.relay}
 	n.selector = newSelector(options, n.ownRelay, n.dial)
-	n.drains = &drainStore{
-		instance: options.Instance, failureDomain: options.FailureDomain, tolerance: options.Tolerance, holders: n.selector.holders,
-		dial:   func(addr string) *distribution.Client { return distribution.Dial(addr, options.Client) },
-		logger: options.Logger,
+	n.drains = &distribution.DrainStore{
+		Instance: options.Instance, FailureDomain: options.FailureDomain, Tolerance: options.Tolerance, Holders: n.selector.holders,
+		Client: options.Client, Logger: options.Logger,
 	}
 	n.reporter = distribution.NewReporter(n.outcomes, &apiv1.ReportRequest{
 		Instance:      options.Instance,
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -139,7 +139,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	request := &apiv1.RenewRequest{
-		Leaving: leaving,
+		Leaving:      leaving,
+		StoresDrains: true,
 		Node: &apiv1.NodeInfo{
 			Instance:          n.options.Instance,
 			FailureDomain:     n.options.FailureDomain,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -178,9 +178,9 @@
 	flags.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries to a service that all nodes with a gate may send beyond that ratio; 0 for no limit on their sum (node)")
 	flags.IntVar(&s.MemoryLimitMB, "memory-limit", 0, "memory in MB above which the process is killed from outside; 0 for none")
 	flags.IntVar(&s.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may have open; 0 for the limit of the system")
-	flags.IntVar(&s.ToleratedInstances, "tolerated-instances", DefaultToleratedInstances, "control instances that may be lost at the same time without the loss of what is acknowledged (node)")
-	flags.IntVar(&s.ToleratedFailureDomains, "tolerated-failure-domains", DefaultToleratedFailureDomains, "failure domains that may be lost at the same time without that (node)")
-	flags.IntVar(&s.ToleratedRegions, "tolerated-regions", 0, "regions that may be lost at the same time without that (node)")
+	flags.IntVar(&s.ToleratedInstances, "tolerated-instances", DefaultToleratedInstances, "control instances that may be lost at the same time without the loss of what is acknowledged")
+	flags.IntVar(&s.ToleratedFailureDomains, "tolerated-failure-domains", DefaultToleratedFailureDomains, "failure domains that may be lost at the same time without that")
+	flags.IntVar(&s.ToleratedRegions, "tolerated-regions", 0, "regions that may be lost at the same time without that")
 	flags.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	return listFlags{
 		peers:            flags.String("control-peers", "", "control instances as name=IP:port, separated by commas"),
