--- a/internal/exchange/early_end_test.go
+++ b/internal/exchange/early_end_test.go
@@ -168,3 +168,39 @@
 	}
 	return body.String(), nil
 }
+
+// TestFramedResponseThatIsCutUnderItsUpload: a length and chunks tell that a response is cut, however its connection ends. The responses of
+// other nodes are framed so.
+func TestFramedResponseThatIsCutUnderItsUpload(t *testing.T) {
+	const rounds = 10
+	part := strings.Repeat("x", 40)
+	for name, response := range map[string]string{
+		"length":                "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n" + part,
+		"length, nothing of it": "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n",
+		"long":                  "HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + strings.Repeat("x", 400_000),
+		"in a chunk":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n" + part,
+		"between chunks":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n" + part + "\r\n",
+		"before the last line":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n" + part + "\r\n0\r\n",
+		"in the head":           "HTTP/1.1 200 OK\r\nContent-Le",
+	} {
+		for _, end := range earlyEnds {
+			t.Run(name+", "+end.name, func(t *testing.T) {
+				addr := startEarlyServer(t, response, end.end)
+				client := NewClient(time.Second)
+				var running sync.WaitGroup
+				var whole atomic.Int64
+				for range rounds {
+					running.Go(func() {
+						request := newRequest("")
+						request.EchoHeader, request.Method, request.Stream, request.StreamLength = "", "POST", io.LimitReader(endless{}, uploadBytes), -1
+						if _, err := readWhole(client, addr, request); err == nil {
+							whole.Add(1)
+						}
+					})
+				}
+				running.Wait()
+				require.Zero(t, whole.Load(), "of %d responses", rounds)
+			})
+		}
+	}
+}
