Exchange: ask at intervals while no other instance answers

An isolated control instance would have used all of its processor: since a source that failed was replaced at once, also by one that fails, so that two peers without a path were asked in turn without a pause.

Only a peer whose last exchange succeeded is asked at once.

TestIsolatedInstanceAsksAtIntervals did not end before: the simulated clock stands while a goroutine is busy (60 s).

--- a/internal/distribution/member_exchange.go
+++ b/internal/distribution/member_exchange.go
@@ -29,7 +29,7 @@
 	source string
 	// failing holds the peers with which the last exchange failed.
 	failing map[string]bool
-	// sourceChanged is closed and replaced when another source is chosen.
+	// sourceChanged is closed and replaced when there is another source to fetch from at once.
 	sourceChanged chan struct{}
 	synced        bool
 }
@@ -94,23 +94,22 @@
 	return peers
 }
 
-// chooseSource chooses another source: one of the peers that answer if there are any. The caller must hold mu.
+// chooseSource chooses another source: one of the peers that answer, from which is fetched at once, or else any. The caller must hold mu.
 func (e *MemberExchange) chooseSource(peers []string) {
 	others := slices.DeleteFunc(slices.Clone(peers), func(addr string) bool { return addr == e.source })
 	answering := slices.DeleteFunc(slices.Clone(others), func(addr string) bool { return e.failing[addr] })
-	if len(answering) > 0 {
-		others = answering
+	switch {
+	case len(answering) > 0:
+		e.source = answering[rand.IntN(len(answering))]
+		close(e.sourceChanged)
+		e.sourceChanged = make(chan struct{})
+	case len(others) > 0:
+		e.source = others[rand.IntN(len(others))]
 	}
-	if len(others) == 0 {
-		return
-	}
-	e.source = others[rand.IntN(len(others))]
-	close(e.sourceChanged)
-	e.sourceChanged = make(chan struct{})
 }
 
 // fetchesFrom reports whether the leases of all homes are fetched from a peer: from the source, and from every peer until
-// the first table has been received. The channel is closed when another source is chosen.
+// the first table has been received. The channel is closed when there is another source to fetch from at once.
 func (e *MemberExchange) fetchesFrom(addr string) (bool, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/distribution/member_exchange_test.go
+++ b/internal/distribution/member_exchange_test.go
@@ -30,6 +30,8 @@
 	copies int
 	// silent is the instance that answers nothing.
 	silent string
+	// requests counts the requests of each instance.
+	requests map[string]int
 }
 
 func newExchangeGroup(ctx context.Context, size int) *exchangeGroup {
@@ -112,6 +114,10 @@
 	t.group.mu.Lock()
 	cut := t.group.cut[[2]string{t.from, request.URL.Host}]
 	silent := t.group.silent == request.URL.Host
+	if t.group.requests == nil {
+		t.group.requests = map[string]int{}
+	}
+	t.group.requests[t.from]++
 	t.group.mu.Unlock()
 	if silent {
 		<-request.Context().Done()
@@ -189,6 +195,34 @@
 	})
 }
 
+// TestIsolatedInstanceAsksAtIntervals guards the processor of an instance that reaches no other one.
+func TestIsolatedInstanceAsksAtIntervals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newExchangeGroup(t.Context(), 4)
+		time.Sleep(5 * time.Second)
+		isolated := "10.0.0.1:1"
+		g.mu.Lock()
+		for i := 2; i <= 4; i++ {
+			g.cut[[2]string{isolated, fmt.Sprintf("10.0.0.%d:1", i)}] = true
+		}
+		g.requests = nil
+		g.mu.Unlock()
+		const seconds = 20
+		time.Sleep(seconds * time.Second)
+		g.mu.Lock()
+		requests := g.requests[isolated]
+		g.mu.Unlock()
+		// Three peers, asked every 0.75 to 1.25 s.
+		require.Less(t, requests, 3*2*seconds)
+		g.mu.Lock()
+		g.cut = map[[2]string]bool{}
+		g.mu.Unlock()
+		g.renew("10.0.0.2:1", "node", 1)
+		time.Sleep(2 * time.Second)
+		require.True(t, g.knows(isolated, "node", 1))
+	})
+}
+
 // TestEndOfLeaseReachesItsHome lets another instance declare a node gone whose home still renews its lease. The home must
 // learn that, so that it has the node refute it.
 func TestEndOfLeaseReachesItsHome(t *testing.T) {
