Node: no calls for a start that may have left, before another process has answered

A restarted node that reaches no control instance takes a late heartbeat of a backend server that has left for its first one, and its own callers were sent there until a renewal was answered, for as long as the node is cut off and some seconds more.

What is older than the process may have left before it. Such a start gets calls only once a process at which leases are renewed has answered its announcement; a failed renewal is repeated after 0.2 s meanwhile. Without such a process the node has no configuration and no members either, so no call is refused that was served before. A start after that of the node needs no answer.

TestStartOfBeforeTheNodeWaitsForAnAnswer failed before.

--- a/internal/control/drain_copies_test.go
+++ b/internal/control/drain_copies_test.go
@@ -245,8 +245,12 @@
 // takesNoCalls requires that a node which takes late heartbeats of a backend server soon treats it as leaving, and stays so.
 func (g *drainGroup) takesNoCalls(n *node.Node, instance string, started time.Time) {
 	leaves := func() bool {
-		server := n.LocalServer()
-		return server.GetInstance() != instance || server.State != serverReady
+		for _, server := range []*apiv1.BackendServer{n.LocalServer(), n.Announced()} {
+			if server.GetInstance() == instance && server.State == serverReady {
+				return false
+			}
+		}
+		return true
 	}
 	for sequence := uint64(2); sequence < 5; sequence++ {
 		_, err := n.Announce(context.Background(), beat(instance, started, sequence, serverReady))
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -99,18 +99,37 @@
 
 // LocalServer returns the backend server beside this node in the state that it announced itself, nil when none is
 // announced: while only this node is stopping, the backend server still serves the calls of nodes that have not yet
-// learned that it is draining or know no other backend server. A requested drain does apply. The record must not be
-// modified.
+// learned that it is draining or know no other backend server. A requested drain does apply. The result is nil also for a start
+// that may have left before this node started, until another process has answered its announcement. The record must not be modified.
 func (n *Node) LocalServer() *apiv1.BackendServer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	server := n.advertisedServer(time.Now())
-	if server == nil || n.drain.drain {
+	switch {
+	case server == nil || n.mayHaveLeft(server):
+		return nil
+	case n.drain.drain:
 		return server
 	}
 	return n.announced.server
 }
 
+// mayHaveLeft reports whether what was acknowledged to a start of a backend server may have been forgotten in a restart of this node:
+// the start is older than this process, and no process at which leases are renewed has answered since. The caller must hold mu.
+func (n *Node) mayHaveLeft(server *apiv1.BackendServer) bool {
+	return server.StartedUnixMs < n.started.UnixMilli() && n.answered != startOf(server)
+}
+
+// serverStart identifies a start of a backend server.
+type serverStart struct {
+	instance    string
+	incarnation uint64
+}
+
+func startOf(server *apiv1.BackendServer) serverStart {
+	return serverStart{server.GetInstance(), server.GetIncarnation()}
+}
+
 // advertisedServer returns the advertised record, nil when its lease has expired. The caller must hold mu.
 func (n *Node) advertisedServer(now time.Time) *apiv1.BackendServer {
 	if n.announced == nil || now.After(n.announced.expires) {
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -315,3 +315,27 @@
 	n.renewWithNewRevision()
 	require.Never(t, func() bool { return !inService() }, 200*time.Millisecond, time.Millisecond)
 }
+
+// TestStartOfBeforeTheNodeWaitsForAnAnswer guards against calls to a backend server that has left, while a restarted node that has taken
+// its late heartbeat reaches no process that could tell so. A start after that of the node needs no answer.
+func TestStartOfBeforeTheNodeWaitsForAnAnswer(t *testing.T) {
+	home := startLeaseHome(t)
+	n, kill := home.startNode(t)
+	defer kill()
+	home.failing.Store(true)
+	_, err := n.Announce(t.Context(), heartbeatOf(1, ready))
+	require.NoError(t, err)
+	require.Never(t, func() bool { return n.LocalServer() != nil }, 100*time.Millisecond, time.Millisecond)
+	require.Equal(t, ready, n.Announced().State, "it is announced all the same")
+	home.failing.Store(false)
+	require.Eventually(t, func() bool { return n.LocalServer().GetState() == ready }, 5*time.Second, time.Millisecond)
+
+	home.failing.Store(true)
+	next := heartbeatOf(1, ready)
+	next.Server.StartedUnixMs = time.Now().UnixMilli()
+	next.Server.Incarnation = uint64(next.Server.StartedUnixMs)
+	_, err = n.Announce(t.Context(), next)
+	require.NoError(t, err)
+	require.Equal(t, ready, n.LocalServer().GetState(), "the node would know if this start had left")
+	home.failing.Store(false)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,8 @@
 type Node struct {
 	options     Options
 	incarnation uint64
+	// started is the time at which this process started.
+	started time.Time
 	// relay is active while this node is one of the assigned relays; ownRelay calls it without a connection.
 	relay    *distribution.Relay
 	ownRelay *distribution.Client
@@ -48,6 +50,8 @@
 	// withdrawn holds the backend servers that have announced by their name alone that they stop.
 	withdrawn departures
 	revision  uint64
+	// answered is the start of the backend server in the newest renewal that another process has answered.
+	answered serverStart
 	// storedDrains is what was stored for the last acknowledgement.
 	storedDrains []drainKey
 	applied      announceSchedule
@@ -101,9 +105,11 @@
 	if options.Client == nil {
 		options.Client = distribution.NewHTTPClient()
 	}
+	started := time.Now()
 	n := &Node{
 		options:     options,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(started.UnixNano()),
+		started:     started,
 		outcomes:    outcome.NewAggregator(options.FailureDomain),
 		renewNow:    make(chan struct{}, 1),
 		applier:     applier{failureDomain: options.FailureDomain},
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -48,6 +48,8 @@
 	// failed renewals after which the node fails over to another process.
 	renewTimeout     = time.Second
 	maxRenewFailures = 2
+	// renewRetryDelay is the mean time after which a failed renewal is repeated while the backend server gets no calls without it.
+	renewRetryDelay = 200 * time.Millisecond
 	// reportInterval is the time between reports of outcomes.
 	reportInterval = time.Second
 	// directReportInterval is the time between reports when nodes report to the control instances without relays. It is
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -56,14 +57,18 @@
 	failures := 0
 	for {
 		to, switched := n.selector.choice()
+		var retry <-chan time.Time
 		if n.renewOnce(ctx, to, false) {
 			failures = 0
 		} else if failures++; failures >= maxRenewFailures && ctx.Err() == nil {
 			failures = 0
 			n.selector.failOver(to)
 			continue
+		} else if n.awaitsAnswer() {
+			retry = time.After(renewRetryDelay/2 + rand.N(renewRetryDelay))
 		}
 		select {
+		case <-retry:
 		case <-ctx.Done():
 			n.bumpRevision()
 			n.renewOnce(context.WithoutCancel(ctx), to, true)
@@ -77,12 +82,20 @@
 	}
 }
 
+// awaitsAnswer reports whether the backend server gets no calls until another process answers a renewal.
+func (n *Node) awaitsAnswer() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	server := n.advertisedServer(time.Now())
+	return server != nil && n.mayHaveLeft(server)
+}
+
 // renewOnce sends one renewal and reports whether it was answered. With leaving set, the renewal ends the leases.
 func (n *Node) renewOnce(ctx context.Context, to *distribution.Client, leaving bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	request := n.renewRequest(leaving)
-	revision := request.Node.Revision
+	revision, announced := request.Node.Revision, announcedIn(request)
 	if n.lastRenewal.receiver == to && n.lastRenewal.revision == revision && !leaving {
 		request = shortRenewal(request)
 	}
@@ -93,6 +106,9 @@
 		return false
 	}
 	learned := n.learnOverruling(response.Overruling)
+	if !response.WantWhole {
+		n.recordAnswered(announced)
+	}
 	switch {
 	case leaving:
 	case learned:
@@ -108,6 +124,22 @@
 	return true
 }
 
+// announcedIn returns the start of the backend server that a renewal announces.
+func announcedIn(request *apiv1.RenewRequest) serverStart {
+	for _, server := range request.Servers {
+		if !member.IsWithdrawal(server) {
+			return startOf(server)
+		}
+	}
+	return serverStart{}
+}
+
+func (n *Node) recordAnswered(announced serverStart) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answered = announced
+}
+
 // renewal identifies an accepted renewal, whose receiver holds the records of that revision; the zero value stands for
 // none.
 type renewal struct {
