--- a/internal/exchange/early_end_test.go
+++ b/internal/exchange/early_end_test.go
@@ -95,7 +95,12 @@
 	return listener.Addr().String()
 }
 
-const uploadBytes = 4 << 20
+const (
+	uploadBytes = 4 << 20
+	// buffered stands for a body that is sent in one write, of bufferedBytes.
+	buffered      = -2
+	bufferedBytes = 60 << 10
+)
 
 // TestResponseThatEndsBeforeItsUpload guards against a part of a response that is taken for the whole, because the writing side of the
 // exchange has taken the error of the reset and the reading side sees a regular end. A response without a length that ends regularly is
@@ -105,7 +110,7 @@
 	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
 		for _, bodyBytes := range []int{0, 40, 400_000} {
 			for _, end := range earlyEnds {
-				for _, length := range []int64{uploadBytes, -1, 0} {
+				for _, length := range []int64{uploadBytes, -1, 0, buffered} {
 					if length == 0 && strings.Contains(end.name, "unread") {
 						continue
 					}
@@ -120,7 +125,11 @@
 							running.Go(func() {
 								request := newRequest("")
 								request.EchoHeader = ""
-								if length != 0 {
+								switch length {
+								case 0:
+								case buffered:
+									request.Method, request.Body = "POST", bytes.Repeat([]byte("u"), bufferedBytes)
+								default:
 									request.Method, request.Stream, request.StreamLength = "POST", io.LimitReader(endless{}, uploadBytes), length
 								}
 								got, err := readWhole(client, addr, request)
--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -147,15 +147,20 @@
 		if !n.lastHeartbeat.isOf(known) || n.announced == nil {
 			continue
 		}
+		news := false
 		if known.Leaving && !n.lastHeartbeat.leaving {
 			n.lastHeartbeat.leaving = true
 			n.announced.server = member.LeavingRecord(n.announced.server)
-			learned = true
+			news = true
 		}
 		if known.DrainOrder > n.drain.number {
 			n.drain = drainOrder{known.DrainOrder, known.DrainOrdered}
-			learned = true
+			news = true
 		}
+		if !news {
+			continue
+		}
+		learned = true
 		n.options.Logger.Info().Str("backend_server", known.Instance).Uint64("incarnation", known.Incarnation).Bool("leaving", known.Leaving).
 			Uint64("drain_order", known.DrainOrder).Bool("drain_ordered", known.DrainOrdered).Msg("learned what was acknowledged before the restart")
 	}
