Replica: keep as many voters as the tolerated losses need

What callers saw: on a deployment that tolerates the loss of two instances at once, no change was accepted any more after two instances had been away and two others had lost their disks, although all were back.

Cause: an open group removes dead voters down to three live ones, whatever the settings say. A group of six whose two absent members were removed had four voters; a majority of four is three, and two of the four had lost their votes.

Evidence: test/control TestDisksLostWhileOthersAreAway, without the setting: "the group does not settle" after 24 s. It passes with it.

Why the fix works: a majority of 2*losses+1 voters remains after as many losses. A dead voter beside fewer stays in the group until a learner replaces it. With one tolerated loss nothing changes.

The table of TestNextMembership gets a column for the losses; its rows keep what they ask.

--- a/internal/replica/maintain_membership.go
+++ b/internal/replica/maintain_membership.go
@@ -70,7 +70,12 @@
 	for _, name := range current.Invited {
 		invited[name] = true
 	}
-	next, due := nextMembership(current.Members, joiners, joinPolicy{r.options.OpenGroup, invited},
+	policy := joinPolicy{
+		openGroup: r.options.OpenGroup,
+		invited:   invited,
+		minVoters: minVotersFor(r.options.ToleratedLosses),
+	}
+	next, due := nextMembership(current.Members, joiners, policy,
 		leaderHealth{r.node, r.electionTicks(), r.options.OpenGroup})
 	if !due {
 		return
--- a/internal/replica/next_membership.go
+++ b/internal/replica/next_membership.go
@@ -19,21 +19,25 @@
 	caughtUp(id string) bool
 }
 
-// minVoters is the number of live voters that an open group must have before it removes a dead one. Three is the least
-// number that tolerates the loss of one.
-const minVoters = 3
+// minVotersFor returns the number of live voters that an open group must have left after it removes a dead one. A
+// majority of fewer could be among those that are lost at once, and three are the least that tolerate any loss.
+func minVotersFor(toleratedLosses int) int {
+	return max(2*toleratedLosses+1, 3)
+}
 
 // maxVoters is the number of voters that an open group has at most. Seven tolerate the loss of three; each further one
 // would add its copy of the log to what each commit waits for and sends. Further instances stay learners: they serve
 // watches and reads, and take the place of a voter that dies.
 const maxVoters = 7
 
-// joinPolicy decides which new names may join a group.
+// joinPolicy decides which new names may join a group, and which members leave it.
 type joinPolicy struct {
-	// openGroup admits all instances.
+	// openGroup admits all instances, and removes dead ones.
 	openGroup bool
 	// invited holds the names that an operator has invited.
 	invited map[string]bool
+	// minVoters is the number of live voters that must be left beside a dead one that is removed.
+	minVoters int
 }
 
 func (p joinPolicy) mayJoin(name string) bool {
@@ -50,9 +54,9 @@
 // only if an operator has invited it or the group is open. It replaces a dead voter if there is one, so that replacing
 // instances does not increase the size of the quorum.
 //
-// An open group also removes dead members that are not replaced. A dead voter is removed only if at least minVoters
-// live voters remain. Without these removals, a voter that dies just before its replacement becomes a voter would count
-// towards the quorum forever. A member that was only partitioned joins again.
+// An open group also removes dead members that are not replaced. A dead voter is removed only if at least
+// policy.minVoters live voters remain. Without these removals, a voter that dies just before its replacement becomes a
+// voter would count towards the quorum forever. A member that was only partitioned joins again.
 //
 // An open group promotes learners up to maxVoters voters, those of the failure domains with the fewest voters first, so
 // that the loss of a failure domain takes as few voters as possible.
@@ -150,7 +154,7 @@
 			live++
 		}
 	}
-	if live < minVoters {
+	if live < policy.minVoters {
 		return nil
 	}
 	return deadVoter(members, health)
--- a/internal/replica/next_membership_test.go
+++ b/internal/replica/next_membership_test.go
@@ -58,6 +58,8 @@
 		invited string
 		health  fixedHealth
 		want    string
+		// losses is the number of losses that are tolerated at once, 1 if it is 0.
+		losses int
 	}{
 		{name: "nothing to do", members: "a1 b1 c1"},
 		{name: "a new instance becomes a learner", members: "a1 b1 c1", joiners: "d1", want: "a1 b1 c1 d1?"},
@@ -73,6 +75,9 @@
 		{name: "a second new identity removes the learner of the first", members: "a1 a2? b1 c1", joiners: "a3", health: fixedHealth{silentIDs: "a1 a2"}, want: "a1 b1 c1"},
 		{name: "a dead voter beside three live ones is removed", members: "a1 b1 c1 d1", health: fixedHealth{deadIDs: "a1"}, want: "b1 c1 d1"},
 		{name: "two dead voters are removed one at a time", members: "a1 b1 c1 d1 e1", health: fixedHealth{deadIDs: "a1 b1"}, want: "b1 c1 d1 e1"},
+		{name: "a dead voter beside five live ones is removed, where two may be lost", members: "a1 b1 c1 d1 e1 f1", health: fixedHealth{deadIDs: "a1"}, losses: 2, want: "b1 c1 d1 e1 f1"},
+		{name: "a dead voter beside four live ones stays, where two may be lost", members: "a1 b1 c1 d1 e1 f1", health: fixedHealth{deadIDs: "a1 b1"}, losses: 2},
+		{name: "a learner replaces a dead voter, where two may be lost", members: "a1 b1 c1 d1 e1 f1?", health: fixedHealth{deadIDs: "a1"}, losses: 2, want: "b1 c1 d1 e1 f1?"},
 		{name: "a dead voter beside two live ones stays", members: "a1 b1 c1", health: fixedHealth{deadIDs: "a1"}},
 		{name: "two dead voters beside two live ones stay", members: "a1 b1 c1 d1", health: fixedHealth{deadIDs: "a1 b1"}},
 		{name: "a silent voter stays", members: "a1 b1 c1 d1", health: fixedHealth{silentIDs: "a1"}},
@@ -87,7 +92,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			invited := map[string]bool{test.invited: test.invited != ""}
-			next, due := nextMembership(parseMembers(test.members), parseMembers(test.joiners), joinPolicy{!test.closed, invited}, test.health)
+			next, due := nextMembership(parseMembers(test.members), parseMembers(test.joiners), joinPolicy{!test.closed, invited, minVotersFor(max(test.losses, 1))}, test.health)
 			require.Equal(t, test.want != "", due)
 			require.Equal(t, test.want, formatMembers(next))
 		})
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -30,6 +30,8 @@
 	Seeds []string
 	// OpenGroup admits instances of any name. Without it an operator has to invite each new name.
 	OpenGroup bool
+	// ToleratedLosses is the number of instances that may be lost at the same time with their disks.
+	ToleratedLosses int
 	// OwnAddr is the control address of an instance that is not in InitialMembers.
 	OwnAddr string
 	// FailureDomain is that of this instance; the other members learn it when this one joins.
--- a/test/control/group_test.go
+++ b/test/control/group_test.go
@@ -59,6 +59,8 @@
 	instances []*instance
 	// open lets new instances join without an operator's invitation.
 	open bool
+	// toleratedLosses is the number of instances that may be lost at once with their disks.
+	toleratedLosses int
 }
 
 func startGroup(t *testing.T, seed uint64, size int) *group {
@@ -90,7 +92,8 @@
 		ID: i.name, ClusterID: clusterID, Dir: "/data", InitialMembers: g.members, StateMachine: machine,
 		Transport: &transport{g.network, i.name}, Logger: zerolog.Nop(), FS: i.disk, TickInterval: tickInterval,
 		SnapshotEvery: snapshotEvery, RetainedEntries: retained, SegmentBytes: 4096, OwnAddr: i.name, OpenGroup: g.open,
-		Rand: rand.New(rand.NewPCG(g.random.Uint64(), 3)),
+		ToleratedLosses: g.toleratedLosses,
+		Rand:            rand.New(rand.NewPCG(g.random.Uint64(), 3)),
 	})
 	require.NoError(g.t, err)
 	g.network.attach(i.name, opened.ReplicationServer())
--- a/test/control/open_group_test.go
+++ b/test/control/open_group_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -68,3 +70,35 @@
 	_, machine := partitioned.running()
 	require.Eventually(t, func() bool { return machine.View().Version == 3 }, settleTimeout, tickInterval)
 }
+
+// TestDisksLostWhileOthersAreAway guards against a group that never serves again, and an acknowledged edit that is
+// gone: two instances of six are away for longer than a dead voter is kept, then two others lose their disks, which is
+// as many as may be lost. Once all are back, the group must go on.
+func TestDisksLostWhileOthersAreAway(t *testing.T) {
+	g := (&group{t: t, network: newNetwork(5), random: rand.New(rand.NewPCG(5, 2)), open: true, toleratedLosses: 2}).form(6)
+	version := g.acceptEdit("first", 0)
+	for _, away := range g.instances[:2] {
+		g.stop(away, true)
+	}
+	all := g.instances
+	g.instances = all[2:]
+	version = g.acceptEdit("while two are away", version)
+	// The time after which a voter without contact is dead is a multiple of the election timeout.
+	time.Sleep(10 * attemptTimeout)
+	version = g.acceptEdit("later", version)
+	g.instances = all
+	for _, instance := range all[2:] {
+		g.stop(instance, true)
+	}
+	for _, lost := range all[2:4] {
+		lost.disk = waltest.NewDisk()
+	}
+	for _, instance := range all {
+		g.start(instance)
+	}
+	g.awaitVoters()
+	for _, instance := range all {
+		_, machine := instance.running()
+		require.Equal(t, version, machine.View().Version, instance.name)
+	}
+}
