Renewal of a restarted node: ask the other control instances first

What callers saw: calls to a backend server that has left, from the restart of its node on, until the control instance that the node asks has exchanged members with the others: up to a second, and longer if that fails.

Cause: a restarted node takes the first answer to its renewal for all there is to know. A control instance that was away when the departure was stored, or that has lost its disk, answers before it has heard of it.

Evidence: control TestInstanceThatIsBehindAsksTheOthers, 6 of 6 cases "a late heartbeat puts it back into service" before, none after.

Why the fix works: the node says in its renewal that its backend server may have left before its start. The receiver then lists at the other control instances what they have stored of it, waits until each has answered or failed, 0.5 s at most, and answers with all of that. An acknowledged record is at one of them after every tolerated loss. Control instances of the earlier release ignore both messages.

--- a/internal/control/drain_copies_test.go
+++ b/internal/control/drain_copies_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,11 +42,12 @@
 	id, addr string
 	domain   string
 	disk     *waltest.Disk
-	// earlier makes the instance one of a release that does not know StoreDrains. delay holds back its answers, and silent makes it
-	// answer never.
-	earlier atomic.Bool
-	delay   atomic.Int64
-	silent  atomic.Bool
+	// earlier makes the instance one of a release that does not know StoreDrains and ListDrains. delay holds back its answers, and
+	// silent makes it answer never. unsynced refuses the exchange of members.
+	earlier  atomic.Bool
+	delay    atomic.Int64
+	silent   atomic.Bool
+	unsynced atomic.Bool
 	// stop ends the process, nil while it is not running.
 	stop   func()
 	server *Server
@@ -109,7 +111,12 @@
 			return
 		}
 		time.Sleep(time.Duration(c.delay.Load()))
-		if c.earlier.Load() && r.URL.Path == apiv1.MembershipPathPrefix+"StoreDrains" {
+		if c.unsynced.Load() && r.URL.Path == apiv1.RelayPathPrefix+"Sync" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		method := strings.TrimPrefix(r.URL.Path, apiv1.MembershipPathPrefix)
+		if c.earlier.Load() && (method == "StoreDrains" || method == "ListDrains") {
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusNotFound)
 			_, _ = w.Write([]byte(`{"code":"bad_route","msg":"no handler for path","meta":{}}`))
@@ -185,11 +192,16 @@
 
 // startNode starts a node in the first failure domain, and returns the function that kills it.
 func (g *drainGroup) startNode(name string, tolerance copies.Tolerance) (*node.Node, func()) {
+	return g.startNodeAt(g.addrs(), name, tolerance)
+}
+
+// startNodeAt starts a node that knows some of the control instances.
+func (g *drainGroup) startNodeAt(control []string, name string, tolerance copies.Tolerance) (*node.Node, func()) {
 	client := distribution.NewHTTPClient()
 	transport := &mortalTransport{RoundTripper: client.Transport}
 	client.Transport = transport
 	n := node.New(node.Options{
-		Instance: name, FailureDomain: g.instances[0].domain, ControlAddr: "127.0.0.1:1", Control: g.addrs(), Direct: true, Tolerance: tolerance, Logger: zerolog.Nop(),
+		Instance: name, FailureDomain: g.instances[0].domain, ControlAddr: "127.0.0.1:1", Control: control, Direct: true, Tolerance: tolerance, Logger: zerolog.Nop(),
 		Timing: node.Timing{WatchWait: time.Second, StaleAge: time.Second, FloorTimeout: 500 * time.Millisecond},
 		Client: client,
 	})
@@ -324,6 +336,78 @@
 	}
 }
 
+// TestInstanceThatIsBehindAsksTheOthers guards against calls to a backend server that has left, because its restarted node asks a control
+// instance that was away, or has lost its disk, and has not yet exchanged members with the others.
+func TestInstanceThatIsBehindAsksTheOthers(t *testing.T) {
+	t.Parallel()
+	for name, drain := range map[string]func(*drainGroup, *node.Node, time.Time){
+		"withdrawal": func(g *drainGroup, n *node.Node, _ time.Time) { g.withdraw(n, "s") },
+		"own word": func(g *drainGroup, n *node.Node, started time.Time) {
+			_, err := n.Announce(context.Background(), beat("s", started, 2, serverDraining))
+			require.NoError(g.t, err)
+		},
+		"operator": func(g *drainGroup, n *node.Node, _ time.Time) {
+			_, err := n.Drain(context.Background(), false)
+			require.NoError(g.t, err)
+		},
+	} {
+		for _, wiped := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", wiped: ", wiped), func(t *testing.T) {
+				t.Parallel()
+				g := newDrainGroup(t, "a", "b", "c")
+				started := time.Now().Add(-time.Minute)
+				n, kill := g.startNode("n", oneOfEach)
+				g.announceReady(n, "s", started)
+				behind := g.instances[0]
+				behind.kill()
+				drain(g, n, started)
+				kill()
+				for _, instance := range g.instances {
+					instance.unsynced.Store(true)
+				}
+				if wiped {
+					behind.wipe()
+				}
+				behind.start()
+				n, _ = g.startNodeAt(g.addrs()[:1], "n", oneOfEach)
+				g.takesNoCalls(n, "s", started)
+				next := time.Now()
+				_, err := n.Announce(context.Background(), beat("s", next, 1, serverReady))
+				require.NoError(t, err)
+				require.Equal(t, serverReady, n.LocalServer().GetState(), "the next start is in service")
+			})
+		}
+	}
+}
+
+// TestRestartedNodeServesWhileInstancesFail guards against a backend server in service that gets no calls after a restart of its node,
+// because of control instances that cannot say whether it has left.
+func TestRestartedNodeServesWhileInstancesFail(t *testing.T) {
+	t.Parallel()
+	for name, fail := range map[string]func(*drainInstance){
+		"all are well":       func(*drainInstance) {},
+		"killed":             func(c *drainInstance) { c.kill() },
+		"silent":             func(c *drainInstance) { c.silent.Store(true) },
+		"an earlier release": func(c *drainInstance) { c.earlier.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newDrainGroup(t, "a", "b", "c")
+			n, kill := g.startNode("n", oneOfEach)
+			started := time.Now().Add(-time.Minute)
+			g.announceReady(n, "s", started)
+			kill()
+			for _, other := range g.instances[1:] {
+				fail(other)
+			}
+			n, _ = g.startNodeAt(g.addrs()[:1], "n", oneOfEach)
+			_, err := n.Announce(context.Background(), beat("s", started, 2, serverReady))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return n.LocalServer().GetState() == serverReady }, time.Second, time.Millisecond)
+		})
+	}
+}
+
 // TestAcknowledgedDrainOutlastsToleratedLosses guards the same for what a backend server says in a heartbeat, and for an order.
 func TestAcknowledgedDrainOutlastsToleratedLosses(t *testing.T) {
 	t.Parallel()
--- a/internal/control/membership_service.go
+++ b/internal/control/membership_service.go
@@ -6,6 +6,7 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "samphireflow/api/v1"
+	"samphireflow/internal/distribution"
 	"samphireflow/internal/member"
 )
 
@@ -25,6 +26,9 @@
 		Version: s.options.Machine.View().Version,
 		AgeMs:   uint64(s.options.Log.Status().LastContact.Milliseconds()),
 	}
+	if request.MayHaveLeft {
+		distribution.LearnDrains(ctx, s.members, request, s.otherControlClients(), s.options.Logger)
+	}
 	s.members.Renew(request, response, s.now())
 	drains := s.drainsOf(request)
 	switch {
@@ -77,6 +81,11 @@
 	return &apiv1.StoreDrainsResponse{Instance: s.options.Instance, FailureDomain: s.options.FailureDomain, Region: s.options.Region}, nil
 }
 
+// ListDrains lists what this instance knows of the end of backend servers.
+func (s membershipService) ListDrains(_ context.Context, request *apiv1.ListDrainsRequest) (*apiv1.ListDrainsResponse, error) {
+	return &apiv1.ListDrainsResponse{Servers: s.members.DrainsOf(request.Node, request.Instances)}, nil
+}
+
 // List lists the members that hold a lease.
 func (s membershipService) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
 	return s.members.Members(), nil
--- a/internal/distribution/departure.go
+++ b/internal/distribution/departure.go
@@ -18,9 +18,7 @@
 	defer cancel()
 	held, _ := r.state.newestVersions()
 	targets := r.otherRelays()
-	for _, control := range r.controls {
-		targets = append(targets, control.client)
-	}
+	targets = append(targets, r.controlClients()...)
 	taken := make(chan bool, len(targets))
 	for _, target := range targets {
 		go func() {
@@ -41,3 +39,11 @@
 	}
 	return false
 }
+
+func (r *Relay) controlClients() []*Client {
+	clients := make([]*Client, len(r.controls))
+	for i, control := range r.controls {
+		clients[i] = control.client
+	}
+	return clients
+}
--- a/internal/distribution/relay_service.go
+++ b/internal/distribution/relay_service.go
@@ -35,6 +35,9 @@
 // Renew extends the leases of a node (twirp service Membership).
 func (r *Relay) Renew(ctx context.Context, request *apiv1.RenewRequest) (*apiv1.RenewResponse, error) {
 	response := &apiv1.RenewResponse{AgeMs: uint64(r.state.Age().Milliseconds())}
+	if request.MayHaveLeft {
+		LearnDrains(ctx, r.hub, request, r.controlClients(), r.options.Logger)
+	}
 	r.hub.Renew(request, response, time.Now())
 	drains := slices.DeleteFunc(slices.Concat(request.Servers, response.Overruling), func(server *apiv1.BackendServer) bool {
 		return !member.CarriesDrain(server)
@@ -53,6 +56,11 @@
 	return nil, twirp.NewError(twirp.Unimplemented, "a relay has no disk")
 }
 
+// ListDrains lists what this relay knows of the end of backend servers (twirp service Membership).
+func (r *Relay) ListDrains(_ context.Context, request *apiv1.ListDrainsRequest) (*apiv1.ListDrainsResponse, error) {
+	return &apiv1.ListDrainsResponse{Servers: r.hub.DrainsOf(request.Node, request.Instances)}, nil
+}
+
 // List lists the members that this relay knows (twirp service Membership).
 func (r *Relay) List(context.Context, *apiv1.ListMembersRequest) (*apiv1.ListMembersResponse, error) {
 	return r.hub.Members(), nil
--- a/internal/member/hub.go
+++ b/internal/member/hub.go
@@ -65,6 +65,13 @@
 	return h.table.Drains()
 }
 
+// DrainsOf lists what is known of the end of backend servers beside a node; see Table.DrainsOf. The records must not be modified.
+func (h *Hub) DrainsOf(node string, instances []string) []*apiv1.BackendServer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.DrainsOf(node, instances)
+}
+
 // StoreDrains takes over what records say of the end of backend servers; see Table.StoreDrain. It keeps and modifies the records.
 func (h *Hub) StoreDrains(servers []*apiv1.BackendServer, now time.Time) {
 	h.mu.Lock()
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -213,6 +213,20 @@
 	return list
 }
 
+// DrainsOf lists those records of Drains that concern backend servers beside a node.
+func (t *Table) DrainsOf(node string, instances []string) []*apiv1.BackendServer {
+	var list []*apiv1.BackendServer
+	for _, instance := range instances {
+		if known := t.servers.leases[instance]; known != nil && known.record.Node == node && CarriesDrain(known.record) {
+			list = append(list, known.record)
+		}
+		if known, ok := t.withdrawals[withdrawalKey{instance, node}]; ok {
+			list = append(list, known.record)
+		}
+	}
+	return list
+}
+
 // CarriesDrain reports whether a record says that the backend server leaves, or carries an order to drain it or to undo that.
 func CarriesDrain(server *apiv1.BackendServer) bool {
 	return server.Leaving || server.DrainOrder > 0
--- a/internal/node/renew.go
+++ b/internal/node/renew.go
@@ -202,6 +202,7 @@
 		server := proto.Clone(advertised).(*apiv1.BackendServer)
 		server.Revision = n.revision
 		request.Servers = append(request.Servers, server)
+		request.MayHaveLeft = n.mayHaveLeft(server)
 	}
 	return request
 }
