--- a/internal/distribution/fake_network_test.go
+++ b/internal/distribution/fake_network_test.go
@@ -66,12 +66,13 @@
 func (n *fakeNetwork) awaitPath(ctx context.Context, from string, sender *process, to string, receiver *process) error {
 	for {
 		n.mu.Lock()
-		crashed := sender.crashed || receiver == nil || receiver.crashed
+		senderCrashed := sender.crashed
+		crashed := senderCrashed || receiver == nil || receiver.crashed
 		blocked := n.blocked[[2]string{from, to}] || sender.paused || receiver != nil && receiver.paused
 		changed := n.changed
 		n.mu.Unlock()
 		switch {
-		case blocked && !sender.crashed:
+		case blocked && !senderCrashed:
 		case crashed:
 			return errConnectionRefused
 		default:
